Reload on SIGHUP: move counter and discovery, finish what is out where it is

Now SIGHUP reads and checks the file as a start does; a faulty one is logged with its key and changes nothing. The counter driver makes new lanes for the new address, moves calls that are not yet written, and lets the old connections close with their last answer, after DEAD_S at the latest. The old watcher is stopped whatever it is at (dial, watch, pause) and says nothing more; the new one asks for the whole list, since another agent's versions need not go on from ours. SIGHUP is blocked from the first line of main until its handler is there, so an early one waits.

The module tells the calls of one name apart by their order alone. Old and new address can answer out of turn, so the engine now tells their ends in the order of the calls.

Tested: the real program with bad files, three reloads in a row, one beside SIGTERM, a list of the new discovery that is not whole (the process died before); the order in test_engine (fails with the queue taken out).

--- a/mapleline/__main__.py
+++ b/mapleline/__main__.py
@@ -5,12 +5,13 @@
 import gc
 import signal
 import sys
+from dataclasses import replace
 from typing import Any
 
 from twisted.logger import globalLogPublisher
 
 from . import config as configuration
-from .config import Config, ConfigError
+from .config import Address, Config, ConfigError
 from .engine import Engine
 from .http1.buffers import BufferPool
 from .http1.server import Translator
@@ -29,6 +30,8 @@
 BACKLOG = 512
 SPARE_DESCRIPTORS = 40  # standard streams, epoll, the listener, discovery, those on their way out
 CLIENTS_SHARE = 0.7  # of the descriptors: clients keep many connections, an attempt needs one while it is out
+#: What a reload leaves as it is, by key of the file.
+KEPT = {"name": "name", "listen": "listen", "limits.sockets": "sockets", "settings": "start"}
 GC_THRESHOLD = 20_000  # objects; a request leaves no cycles, so a pause seldom finds anything
 
 
@@ -39,7 +42,7 @@
         self.reactor, self.config = reactor, config
         start = config.start
         clock = unix_clock()
-        buffers = BufferPool()
+        buffers = self.buffers = BufferPool()
         self.engine = Engine(Brain(start), clock)
         self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
         room = config.sockets - SPARE_DESCRIPTORS - 2 * CONNECTIONS
@@ -49,7 +52,7 @@
             room - for_clients,
         )  # fmt: skip
         self.engine.upstreams = self.upstreams
-        self.engine.counter = CounterDriver(
+        self.counter = self.engine.counter = CounterDriver(
             reactor, self.engine, clock, buffers, config.counter, config.dial_timeout_s
         )
         translator = Translator(start, config.class_names, config.plan_names)
@@ -59,7 +62,10 @@
         )  # fmt: skip
         self.directory = Directory(config.zone_names, config.kind_names)
         self.leaving = False
-        self.watcher = Watcher(reactor, config.discovery, buffers, self.directory, self.told)
+        self.watcher = self._watcher(config.discovery)
+
+    def _watcher(self, address: Address, whole: bool = False) -> Watcher:
+        return Watcher(self.reactor, address, self.buffers, self.directory, self.told, whole)
 
     def told(self, news: i.ServerNews) -> None:
         """Addresses first: the module may send as soon as it knows."""
@@ -71,16 +77,13 @@
 
     def run(self) -> None:
         host, port = self.config.listen
-        try:
-            known = self.directory.read(self.config.known, cached=True)
-        except ValueError as err:
-            raise ConfigError(f"known: {err}") from None
+        known = self._read_known(self.directory, self.config)
         try:
             self.front.port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         except Exception as err:
             raise ConfigError(f"listen: {err}") from None
         self.told(known)
-        self.watcher.run()
+        self.watcher.start()
         self.reactor.callWhenRunning(self._serving)
         gc.collect()
         gc.freeze()
@@ -88,19 +91,53 @@
         self.reactor.run()
         print_counters("exit")
 
+    @staticmethod
+    def _read_known(directory: Directory, config: Config) -> i.ServerNews:
+        try:
+            return directory.read(config.known, cached=True)
+        except ValueError as err:
+            raise ConfigError(f"known: {err}") from None
+
     def _serving(self) -> None:
         """Say so only once signals are handled: SIGUSR1 before that ends the process."""
         handlers = {
+            signal.SIGHUP: self.reload,
             signal.SIGTERM: self.leave,
             signal.SIGINT: self.leave,
             signal.SIGUSR1: lambda: print_counters("asked"),
         }
         for number, handler in handlers.items():
             signal.signal(number, lambda *_, handler=handler: self.reactor.callFromThread(handler))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one since the start counts now
         bound = self.front.port.getHost()
         listen = f"{bound.host}:{bound.port}"
         log("serving", name=self.config.name, listen=listen, servers=len(self.directory.places))
 
+    def reload(self) -> None:
+        """Read the configuration anew: the counter and discovery move, all else stays until the next start.
+
+        A file that the program would not start with changes nothing.
+        """
+        try:
+            new = configuration.load()
+            self._read_known(Directory(new.zone_names, new.kind_names), new)
+        except ConfigError as err:
+            COUNTS["reload.failed"] += 1
+            return log("reload failed", fault=str(err))
+        COUNTS["reload.done"] += 1
+        old = self.config
+        self.config = replace(old, counter=new.counter, discovery=new.discovery)
+        if new.counter != old.counter:
+            self.counter.move(new.counter)
+        if new.discovery != old.discovery and self.watcher.running:
+            self.watcher.stop()
+            self.watcher = self._watcher(new.discovery, whole=True)
+            self.watcher.start()
+        new.start.seed = old.start.seed  # new in every file, and of use at a start only
+        kept = [key for key, field in KEPT.items() if getattr(new, field) != getattr(old, field)]
+        log("reloaded", counter=":".join(map(str, new.counter)), discovery=":".join(map(str, new.discovery)),
+            until_restart=kept)  # fmt: skip
+
     def leave(self) -> None:
         """Go on serving for a while, then take nothing new, finish what is open, and stop."""
         if self.leaving:
@@ -137,6 +174,8 @@
 
 def main() -> int:
     """Entry point; returns the exit code."""
+    # A reload asked for before there is anything to reload waits for it, and must not end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
     try:
         config = configuration.load()
         watch_twisted()
--- a/mapleline/engine.py
+++ b/mapleline/engine.py
@@ -66,7 +66,11 @@
     ttl_ns: int
     made_ns: int
     written: bool = False  #: set by the driver; before that the call can have added nothing
-    over: bool = False
+    end: i.Counted | None = None  #: how it ended
+
+    @property
+    def over(self) -> bool:
+        return self.end is not None
 
 
 @dataclass(slots=True, eq=False)
@@ -121,6 +125,7 @@
         self._start = brain.s
         self.requests: dict[int, Open] = {}
         self._lingering: dict[int, Open] = {}  # answered, with attempts that are still out
+        self._calls: dict[int, deque[Call]] = {}  # to the counter, by name; see `counted`
         self._next = 0
         # What has ended stays in the heap until it comes to its top: no turn of the reactor is spent on it.
         self._timers: list[tuple[int, int, ModuleTimer | Open | Attempt | Call]] = []
@@ -182,9 +187,15 @@
         if call.over:
             COUNTS["counter.answered_late"] += 1  # the module was told of a time-out: dropped, in its turn
             return
-        call.over = True
         COUNTS[COUNTED[result]] += 1
-        self._tell(i.Counted(call.name, result, total, self._clock() - call.made_ns))
+        call.end = i.Counted(call.name, result, total, self._clock() - call.made_ns)
+        # The module hears of one name's calls in the order in which it made them and knows them by that.
+        # Drivers may answer out of turn: while the counter moves, the new address can be the quicker one.
+        calls = self._calls[call.name]
+        while calls and calls[0].end is not None:
+            self._tell(calls.popleft().end)
+        if not calls:
+            self._calls.pop(call.name, None)
 
     def news(self, news: i.ServerNews) -> None:
         self._tell(news)
@@ -353,6 +364,7 @@
         COUNTS["counter.called"] += 1
         call = Call(action.name, action.amount, action.ttl_ns, self._clock())
         self._push(call.made_ns + (self._start.count_wait_ns or COUNT_WAIT_NS), call)
+        self._calls.setdefault(call.name, deque()).append(call)
         self.counter.add(call)
 
     def _log(self, action: i.Log) -> None:
--- a/mapleline/net/counter.py
+++ b/mapleline/net/counter.py
@@ -31,6 +31,8 @@
     def __init__(self, lane: Lane) -> None:
         self.lane = lane
         self.machine = ClientConnection(lane.driver.buffers)
+        self.last = False  #: it closes with the answer to its last call
+        self.closing: Any = None  #: or when this goes off
 
     def call(self, call: Call) -> None:
         life_ms = max(1, min(MOST_LIFE_MS, -(-call.ttl_ns // 1_000_000)))
@@ -51,10 +53,21 @@
         if not self.machine.reusable:
             self.lane.part(self)
             self.transport.loseConnection()
+        elif self.last:
+            self.close_when_done()
+
+    def close_when_done(self) -> None:
+        """At once where nothing is out, and after a while all the same: the old counter may never answer."""
+        if not self.machine.calls:
+            self.transport.loseConnection()
+        elif self.closing is None:
+            self.closing = self.lane.driver.reactor.callLater(DEAD_S, self.transport.abortConnection)
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self.lane.part(self)
+        if self.closing is not None and self.closing.active():
+            self.closing.cancel()
         # Each of them may have been added, but for the last one if the kernel never took all of it.
         unsent = 0 if self.flushed else 1
         calls = list(self.machine.calls)
@@ -64,10 +77,11 @@
 
 
 class Lane:
-    """The names that share one connection."""
+    """The names that share one connection to one address."""
 
     def __init__(self, driver: CounterDriver) -> None:
         self.driver = driver
+        self.retired = False  #: the counter has moved: nothing new goes this way
         self.stream: CounterStream | None = None
         self.dialing = False
         self.queue: deque[Call] = deque()  # until the connection is up
@@ -88,6 +102,10 @@
     def _dialed(self, stream: CounterStream | Failure) -> None:
         self.dialing = False
         queue, self.queue = self.queue, deque()
+        if self.retired:
+            if not isinstance(stream, Failure):
+                stream.transport.abortConnection()  # nothing was written on it, and its calls have moved on
+            return
         if isinstance(stream, Failure):
             COUNTS["counter.dial_failed"] += 1
             for call in queue:
@@ -103,6 +121,16 @@
         if self.stream is stream:
             self.stream = None
 
+    def retire(self) -> list[Call]:
+        """What is written here finishes here; returns the calls that are not written, in their order."""
+        self.retired = True
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.last = True
+            stream.close_when_done()
+        unwritten, self.queue = [call for call in self.queue if not call.over], deque()
+        return unwritten
+
 
 class CounterDriver:
     """The engine's Counter."""
@@ -112,9 +140,18 @@
         address: Address, dial_timeout_s: float,
     ) -> None:  # fmt: skip
         self.reactor, self.engine, self.clock, self.buffers = reactor, engine, clock, buffers
-        self.address, self.dial_timeout_s = address, dial_timeout_s
+        self.dial_timeout_s = dial_timeout_s
+        self.lanes: list[Lane] = []
+        self.move(address)
+
+    def move(self, address: Address) -> None:
+        """Calls go to this address from now on, unwritten ones too; the others finish where they are."""
+        unwritten = [call for lane in self.lanes for call in lane.retire()]
+        self.address = address
         self.host_line = b"Host: %b:%d\r\n" % (address[0].encode(), address[1])
         self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
+        for call in unwritten:
+            self.add(call)
 
     def factory(self, lane: Lane) -> Factory:
         factory = Factory.forProtocol(lambda: CounterStream(lane))
--- a/mapleline/net/discovery.py
+++ b/mapleline/net/discovery.py
@@ -23,6 +23,7 @@
 
 WAIT_MS = 20_000
 SPARE_S = 1.5  # for the answer of a watch whose time is over
+WHOLE_S = 1.0  # for the whole list, which the agent gives without waiting
 RETRY_S = 0.05  # the next call must arrive within 200 ms of the last answer
 LIVES = {"in_service": i.Life.READY, "terminating": i.Life.DRAINING, "terminated": i.Life.GONE}
 
@@ -106,13 +107,18 @@
 
 
 class Watcher:
-    """Asks for what is newer than the list in hand, again and again."""
+    """Asks one address for what is newer than the list in hand, again and again.
+
+    After a move `whole` is set: another discovery's versions need not go on from the old ones, so it is asked
+    for its whole list first.
+    """
 
     def __init__(
         self, reactor: Any, address: Address, buffers: BufferPool, directory: Directory,
-        told: Callable[[i.ServerNews], None],
+        told: Callable[[i.ServerNews], None], whole: bool = False,
     ) -> None:  # fmt: skip
         self.reactor, self.address, self.directory, self.told = reactor, address, directory, told
+        self.whole = whole
         self.host_line = b"Host: %b:%d\r\n" % (address[0].encode(), address[1])
         self.factory = Factory.forProtocol(lambda: AgentStream(buffers))
         self.factory.noisy = False
@@ -120,8 +126,11 @@
         self.running = True
         self.failing = False
 
+    def start(self) -> None:
+        self._loop = self._run()
+
     @inlineCallbacks
-    def run(self):  # type: ignore[no-untyped-def]
+    def _run(self):  # type: ignore[no-untyped-def]
         """Until stopped.  Nothing that comes back may end it: without it the ingress goes blind."""
         while self.running:
             try:
@@ -133,6 +142,8 @@
                 if news is not None:
                     self.told(news)
             except Exception as err:
+                if not self.running:
+                    return  # stopped: what broke off is no failure, and there is nothing to try again
                 COUNTS["discovery.failed"] += 1
                 if not self.failing:
                     self.failing = True
@@ -143,7 +154,11 @@
     def _read(self, response: Response) -> i.ServerNews | None:
         if response.status != 200:
             raise ValueError(f"status {response.status}")
-        news = self.directory.read(orjson.loads(response.body))
+        raw = orjson.loads(response.body)
+        if self.whole and not (isinstance(raw, dict) and raw.get("all") is True):
+            raise ValueError("all: expected the whole list")  # changes to a list that is not ours
+        news = self.directory.read(raw)
+        self.whole = False
         COUNTS["discovery.answered"] += 1
         if news.news == i.News.CHANGES and not news.servers:
             return None  # the time of the watch was over
@@ -154,9 +169,12 @@
         if self.stream is None or not self.stream.connected or not self.stream.machine.reusable:
             endpoint = TCP4ClientEndpoint(self.reactor, *self.address, timeout=1.0)
             self.stream = yield endpoint.connect(self.factory)
-        target = b"/registry/instances?after=%d&wait_ms=%d" % (self.directory.rev, WAIT_MS)
+        target, wait_s = b"/registry/instances", WHOLE_S
+        if not self.whole:
+            target += b"?after=%d&wait_ms=%d" % (self.directory.rev, WAIT_MS)
+            wait_s = WAIT_MS / 1000 + SPARE_S
         call = self.stream.call(target, self.host_line)
-        call.addTimeout(WAIT_MS / 1000 + SPARE_S, self.reactor)
+        call.addTimeout(wait_s, self.reactor)
         response = yield call
         return response
 
@@ -166,5 +184,7 @@
         self.stream = None
 
     def stop(self) -> None:
+        """Nothing is reported or asked from here on, whatever is under way: a dial, a watch or a pause."""
         self.running = False
         self.drop()
+        self._loop.cancel()
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -173,8 +173,8 @@
 class Ingress:
     """The process, its address, and its log line by line."""
 
-    def __init__(self, process):
-        self.process, self.lines = process, queue.Queue()
+    def __init__(self, process, file):
+        self.process, self.file, self.lines = process, file, queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
         host, port = self.event("serving")["listen"].split(":")
         self.address = (host, int(port))
@@ -200,6 +200,13 @@
             assert client.ask(**kw) is not None
         raise AssertionError("never came")
 
+    def reload(self, config):
+        """Replace the file as an operator would, in one step; the caller waits for the event."""
+        new = self.file.with_suffix(".new")
+        new.write_text(config if isinstance(config, str) else json.dumps(config))
+        new.rename(self.file)
+        self.process.send_signal(signal.SIGHUP)
+
     def counts(self):
         self.process.send_signal(signal.SIGUSR1)
         return self.event("counters")["counts"]
@@ -227,7 +234,7 @@
     config = config_for(counter or Counter(), discovery or Discovery(), servers, **changes)
     process = start(config, tmp_path)
     try:
-        ingress = Ingress(process)
+        ingress = Ingress(process, tmp_path / "config.json")
         yield ingress
         if process.poll() is None:
             faults = ("twisted.caught", "engine.action_failed", "engine.answer_failed", "module.raised")
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -193,3 +193,19 @@
     rig.engine.attempt_ended(rig.attempts[0], R.OK)
     rig.at(30 * MS)  # set while the call was out
     assert rig.alarm_at == 1000 * S + 40 * S and i.Timer not in rig.module.kinds()
+
+
+def test_the_module_hears_of_one_names_calls_in_the_order_it_made_them():
+    """After a move of the counter a call at the new address can be answered before one left at the old."""
+    rig = Rig()
+    rig.module.then[i.Arrival] = lambda ev: [i.Count(ev.request % 2, 1.0, S)]
+    for _ in range(4):
+        rig.arrive()
+    one, other, two, _ = rig.calls
+    rig.engine.counted(two, R.OK, 9.0)
+    rig.engine.counted(other, R.OK, 5.0)
+    rig.now += MS
+    rig.engine.counted(one, R.TIMEOUT)
+    told = [(ev.name, ev.result, ev.total, ev.took_ns) for ev in rig.module.told if type(ev) is i.Counted]
+    assert told == [(0, R.OK, 5.0, 0), (1, R.TIMEOUT, 0.0, MS), (1, R.OK, 9.0, 0)]
+    assert len(rig.engine._calls) == 1  # the one still out; names that are done with leave nothing behind
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -339,6 +339,40 @@
     assert counts["client.closed_for_room"] >= 100
 
 
+def test_a_reload_moves_counter_and_discovery_while_what_is_out_finishes(tmp_path):
+    """SIGHUP ended the process.  Calls out finish on the old counter, in order with those to the new one."""
+    servers, discoveries = (serving(), serving()), [Discovery(), Discovery()]
+    counters = [Counter(), Counter()]
+    with running(tmp_path, servers[0], counter=counters[0], discovery=discoveries[0]) as ingress:
+        assert "after=1&" in discoveries[0].next()[0]
+        ingress.ask_until(lambda: counters[0].seen.qsize())
+        config = config_for(counters[1], discoveries[1], servers[:1])
+        for broken, key in [("{", "EDGE_CONFIG"), ({**config, "counter": 7}, "counter")]:
+            ingress.reload(broken)
+            assert ingress.event("reload failed")["fault"].startswith(key + ":")
+        for _ in range(3):  # the second and the third change nothing
+            ingress.reload({**config, "seed": "5"})
+            assert ingress.event("reloaded")["until_restart"] == []
+        assert discoveries[1].next()[0] == "GET /registry/instances HTTP/1.1"  # whole, not after the old rev
+        discoveries[0].tell(9, [], whole=True)  # to nobody
+        assert discoveries[0].ended.get(timeout=WAIT_S) and counters[0].ended.get(timeout=WAIT_S)
+        discoveries[1].tell(1, [target(servers[1], 1)])  # changes to a list that is not ours
+        assert discoveries[1].next()[0] == "GET /registry/instances HTTP/1.1"
+        discoveries[1].tell(1, [target(servers[1], 1)], whole=True)
+        assert "after=1&" in discoveries[1].next()[0]
+        before = counters[0].seen.qsize(), servers[0].seen.qsize()
+        ingress.ask_until(lambda: counters[1].seen.qsize())
+        assert (counters[0].seen.qsize(), servers[0].seen.qsize()) == before and servers[1].seen.qsize()
+        counts = ingress.counts()
+        ingress.process.send_signal(signal.SIGTERM)
+        ingress.event("told to leave")
+        ingress.reload(config_for(counters[0], discoveries[0], servers[:1]))
+        ingress.event("reloaded")
+        assert ingress.process.wait(timeout=WAIT_S) == 0
+    assert (counts["reload.done"], counts["reload.failed"], discoveries[0].seen.qsize()) == (3, 2, 1)
+    assert counts["discovery.failed"] == 1  # the list that was not whole; leaving the old one is no failure
+
+
 FAULTS = {
     "discovery": dict(discovery="nowhere"),
     "counter": dict(counter=7),
