Give good answers with surplus behind them; treat a spoilt one as one attempt that may have run

A trace of what came showed surplus in the same read as the answer, two lengths, bad chunks, 3 GB lengths, endless heads, and counter bodies like {} and 0x.

Wrong were - ClientConnection._answers: raised on surplus and threw away the answers found before it; ended() parsed what an abort had left. Answers found are now given, what cannot be read ends the connection's use and frees its buffers at once; only a clean end can end a body without a length. 1xx before one answer are bounded. - UpstreamServer.send: what a server sends beyond its answer, still unread in the kernel, would have answered the next request on that connection. An idle connection is looked at (MSG_PEEK) before it is used. - CounterDriver.answered: a 200 without a number became ERROR, after which the module added the amount again, and the connection was used on; float() took nan and inf. Now a time-out to the module, and the connection is dropped. - Brain.on_counted: each answer that was not OK halved the share of calls, however quick it was. Only late answers and refusals tell of load. - Brain.on_outcome: keyed requests were never repeated. They are while all servers drop the repeat.

--- a/mapleline/http1/client.py
+++ b/mapleline/http1/client.py
@@ -11,40 +11,57 @@
 
 
 class ClientConnection:
-    """Calls in the order they were written, each with the tag that its caller gave it."""
+    """Calls in the order they were written, each with the tag that its caller gave it.
 
-    __slots__ = ("_reader", "calls", "reusable")
+    What cannot be read, or belongs to no call, ends the use of the connection and nothing else: the answers
+    before it are good and are given, what is behind it is never read.
+    """
+
+    __slots__ = ("_reader", "calls", "reusable", "spoilt")
 
     def __init__(self, pool: BufferPool) -> None:
         self._reader = MessageReader(pool)
         self.calls: deque[Any] = deque()  #: tags of the calls unanswered
         self.reusable = True
+        self.spoilt = ""  #: why, once something has come that no call's answer can begin with
 
     def called(self, tag: Any) -> None:
         invariant(self.reusable, "call.on_a_used_up_connection")
         self.calls.append(tag)
 
     def receive(self, data: bytes) -> list[tuple[Any, Response]]:
-        """The answers that are whole now, with their tags; raises Malformed."""
+        """The answers that are whole now, with their tags."""
+        if not self.reusable:
+            return []  # behind the last answer, or what was spoilt: it belongs to nobody
         self._reader.feed(data)
         return self._answers(False)
 
-    def ended(self) -> list[tuple[Any, Response]]:
-        """The other side has closed: an answer that only that could end, if there is one."""
-        self.reusable = False
-        try:
-            return self._answers(True)
-        except Malformed:
-            return []
+    def ended(self, clean: bool) -> list[tuple[Any, Response]]:
+        """The connection is gone: an answer that only its clean end could end, if there is one.
+
+        After a reset, or an end of our own making, what lies here is a part of an answer and never one.
+        """
+        found = self._answers(True) if clean and self.reusable else []
+        self._give_up()
+        return found
 
     def _answers(self, ended: bool) -> list[tuple[Any, Response]]:
         found = []
-        while self._reader.waiting:
-            if not self.calls:
-                raise Malformed(400, "an answer that nobody asked for")
-            response = self._reader.next_response(ended)
-            if response is None:
-                break
-            self.reusable = self.reusable and response.keep_alive
-            found.append((self.calls.popleft(), response))
+        try:
+            while self.reusable and self._reader.waiting:
+                if not self.calls:
+                    raise Malformed(400, "more than was asked for")
+                response = self._reader.next_response(ended)
+                if response is None:
+                    break
+                found.append((self.calls.popleft(), response))
+                if not response.keep_alive:
+                    self._give_up()
+        except Malformed as err:
+            self.spoilt = err.why
+            self._give_up()
         return found
+
+    def _give_up(self) -> None:
+        self.reusable = False
+        self._reader.clear()
--- a/mapleline/http1/messages.py
+++ b/mapleline/http1/messages.py
@@ -9,6 +9,7 @@
 
 MOST_HEAD = 8 * 1024
 MOST_BODY = 64 * 1024
+MOST_INTERIM = 32  # 1xx before one answer: a server that sends no other must not keep its attempt for ever
 END_OF_HEAD = b"\r\n\r\n"
 
 # One match over the whole head costs less than a check a line.  No folded lines, no bare CR or LF, no NUL.
@@ -117,12 +118,13 @@
     A message that arrives whole is parsed where it lies; only what must wait is copied to a pooled buffer.
     """
 
-    __slots__ = ("_data", "_inbox", "_need")
+    __slots__ = ("_data", "_inbox", "_interim", "_need")
 
     def __init__(self, pool: BufferPool) -> None:
         self._inbox = Inbox(pool)
         self._data = b""  # the newest bytes, not yet looked at
         self._need = 0  # the message in hand is not whole with less than this
+        self._interim = 0  # 1xx before the answer in hand
 
     @property
     def waiting(self) -> int:
@@ -136,6 +138,11 @@
         else:
             self._data = data
 
+    def clear(self) -> None:
+        """Nothing that waits will be read any more; its buffers go back now."""
+        self._inbox.take()
+        self._data = b""
+
     def _all(self) -> bytes:
         if self._inbox.size:
             self._data = self._inbox.take() + self._data
@@ -203,6 +210,9 @@
                 raise Malformed(400, "malformed status line")
             status, headers = int(match[2]), parse_headers(block)
             if status < 200:  # 1xx: the answer proper is still to come
+                self._interim += 1
+                if self._interim > MOST_INTERIM or status == 101:  # nobody asked to switch
+                    raise Malformed(400, "too much before the answer")
                 self._done(start)
                 continue
             keep_alive = _keep_alive(match[1], headers)
@@ -229,6 +239,7 @@
                     return None
                 body = self._data[start:end]
             self._done(end)
+            self._interim = 0
             return Response(status, headers, body, keep_alive)
 
 
--- a/mapleline/net/counter.py
+++ b/mapleline/net/counter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -14,7 +15,7 @@
 from ..engine import Call, Engine
 from ..http1.buffers import BufferPool
 from ..http1.client import ClientConnection
-from ..http1.messages import Malformed, Response, write_request
+from ..http1.messages import Response, write_request
 from ..policy.interface import Result
 from ..telemetry import COUNTS
 from .streams import Stream
@@ -22,6 +23,8 @@
 CONNECTIONS = 16  # of the 32 that the counter holds for an ingress: one that is slow to die takes no room
 DEAD_S = 1.0  # a connection whose oldest call waits longer is given up: its machine may be gone for good
 MOST_LIFE_MS = 60_000
+NOTHING_ADDED = (400, 404, 503)
+TOTAL = re.compile(rb"-?[0-9]{1,20}(?:\.[0-9]{1,20})?(?:[eE][+-]?[0-9]{1,2})?")  # no nan, no inf
 MOST_QUEUED = 256  # calls that wait for one connection
 
 
@@ -43,16 +46,15 @@
         self.send(write_request(b"POST", target, self.lane.driver.host_line))
 
     def dataReceived(self, data: bytes) -> None:
-        try:
-            answers = self.machine.receive(data)
-        except Malformed:
+        readable = True
+        for call, response in self.machine.receive(data):
+            readable = self.lane.driver.answered(call, response) and readable
+        if self.machine.spoilt:
             COUNTS["counter.malformed"] += 1
-            return self.transport.abortConnection()
-        for call, response in answers:
-            self.lane.driver.answered(call, response)
-        if not self.machine.reusable:
+        if not self.machine.reusable or not readable:
+            # Calls behind the answer may have been added, and no answer of theirs can be trusted.
             self.lane.part(self)
-            self.transport.loseConnection()
+            self.transport.abortConnection()
         elif self.last:
             self.close_when_done()
 
@@ -65,6 +67,7 @@
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
+        self.machine.ended(False)
         self.lane.part(self)
         if self.closing is not None and self.closing.active():
             self.closing.cancel()
@@ -161,13 +164,20 @@
     def add(self, call: Call) -> None:
         self.lanes[call.name % CONNECTIONS].add(call)
 
-    def answered(self, call: Call, response: Response) -> None:
-        if response.status == 200:
-            try:
-                return self.engine.counted(call, Result.OK, float(response.body))
-            except ValueError:
-                COUNTS["counter.malformed"] += 1
-        self.engine.counted(call, Result.REJECTED if response.status == 503 else Result.ERROR)
+    def answered(self, call: Call, response: Response) -> bool:
+        """Tell what the answer says; False if it says nothing that can be read."""
+        if response.status in NOTHING_ADDED:
+            self.engine.counted(call, Result.REJECTED)
+            return True
+        total = TOTAL.fullmatch(response.body) if response.status == 200 else None
+        if total is not None:
+            self.engine.counted(call, Result.OK, float(total[0]))
+        else:
+            # Added, though it does not say to what: to the module that is a call without an answer, whose
+            # amount it must not add a second time.
+            COUNTS["counter.malformed"] += 1
+            self.engine.counted(call, Result.TIMEOUT)
+        return total is not None
 
     def gave_up(self, call: Call) -> None:
         """Its time has run out: if its connection has long been silent, the next calls take a new one."""
--- a/mapleline/net/discovery.py
+++ b/mapleline/net/discovery.py
@@ -8,6 +8,7 @@
 import orjson
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
@@ -15,7 +16,7 @@
 from ..config import Address, read_address
 from ..http1.buffers import BufferPool
 from ..http1.client import ClientConnection
-from ..http1.messages import Malformed, Response, write_request
+from ..http1.messages import Response, write_request
 from ..policy import interface as i
 from ..telemetry import COUNTS, log
 from .streams import Stream
@@ -92,15 +93,14 @@
         return done
 
     def dataReceived(self, data: bytes) -> None:
-        try:
-            for done, response in self.machine.receive(data):
-                done.callback(response)
-        except Malformed:
+        for done, response in self.machine.receive(data):
+            done.callback(response)
+        if self.machine.spoilt:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
-        for done, response in self.machine.ended():
+        for done, response in self.machine.ended(reason.check(ConnectionDone) is not None):
             done.callback(response)
         while self.machine.calls:
             self.machine.calls.popleft().errback(reason)
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -4,9 +4,11 @@
 
 from collections import deque
 from collections.abc import Callable
+from socket import MSG_PEEK
 from typing import Any, NamedTuple
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
@@ -14,7 +16,7 @@
 from ..engine import Attempt, Engine
 from ..http1.buffers import BufferPool
 from ..http1.client import ClientConnection
-from ..http1.messages import Malformed, Response, write_request
+from ..http1.messages import Response, write_request
 from ..policy.interface import Result
 from ..telemetry import COUNTS
 from .streams import Stream
@@ -48,13 +50,18 @@
         self.send(data)
 
     def dataReceived(self, data: bytes) -> None:
-        try:
-            answers = self.machine.receive(data)
-        except Malformed:
-            COUNTS["upstream.malformed"] += 1
-            return self.transport.abortConnection()
+        answers = self.machine.receive(data)
+        if self.machine.spoilt:
+            COUNTS["upstream.surplus" if answers or self.attempt is None else "upstream.malformed"] += 1
         if answers:
-            self._answered(answers[0][1])
+            return self._answered(answers[0][1])
+        if not self.machine.reusable:
+            # The attempt may have run, and nothing more will come of it: it ends now.
+            attempt, self.attempt = self.attempt, None
+            self.server.forget(self)
+            self.transport.abortConnection()
+            if attempt is not None:
+                self.server.pool.engine.attempt_ended(attempt, Result.ERROR)
 
     def _answered(self, response: Response) -> None:
         attempt, self.attempt = self.attempt, None
@@ -62,10 +69,27 @@
         if self.machine.reusable and self.flushed and self.connected:
             self.server.rest(self)
         else:
-            self.transport.loseConnection()
+            self.transport.abortConnection()  # whatever else the other side may have to say
         if attempt is not None:
             self.server.pool.engine.attempt_ended(attempt, judge(response), response)
 
+    @property
+    def quiet(self) -> bool:
+        """Nothing has come since the last answer, not even an end that the reactor has not told of yet.
+
+        What a server sends beyond its answer would be read as the answer to the next request.
+        """
+        if not self.connected or not self.machine.reusable:
+            return False
+        try:
+            self.transport.getHandle().recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        COUNTS["upstream.not_quiet"] += 1
+        return False
+
     def drop(self) -> None:
         """Give up the attempt that is out, or an idle connection."""
         self.attempt = None
@@ -74,7 +98,7 @@
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self.server.lost(self)
-        for _, response in self.machine.ended():
+        for _, response in self.machine.ended(reason.check(ConnectionDone) is not None):
             return self._answered(response)
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
@@ -106,7 +130,7 @@
         oldest = self.pool.reactor.seconds() - self.pool.idle_s
         while self.idle:
             stream = self.idle.pop()
-            if stream.connected and stream.idle_since >= oldest:
+            if stream.idle_since >= oldest and stream.quiet:
                 return self._start(stream, attempt)
             stream.drop()
         if self.pool.held >= self.pool.most:
@@ -143,6 +167,10 @@
 
     def lost(self, stream: UpstreamStream) -> None:
         self.pool.held -= 1
+        self.forget(stream)
+
+    def forget(self, stream: UpstreamStream) -> None:
+        """It must not be used again."""
         if stream.attempt is None and stream in self.idle:
             self.idle.remove(stream)
 
--- a/mapleline/policy/brain.py
+++ b/mapleline/policy/brain.py
@@ -39,6 +39,7 @@
 DRAWN_ALL = 6  # draws a server: with more of them one in 400 is missed, and drawing costs more than it spares
 CHANCE = 0.1  # in the choice of a server: gateways that know nothing yet must not choose alike
 FAR = 1.02  # another zone must look a little better: less than chance, or all would stay in their own
+KEY_SHARE = 0.9  # of the time for which servers drop repeats by key: the way there takes a part of it
 RETRY_SHARE = 0.2  # retries may be a fifth of successes: covers a few bad servers, does not double the load
 
 
@@ -154,13 +155,14 @@
         if answered and ev.took_ns < self.patience / 4:
             grow = CALLS_GROW if self.asking_cut else 4 * CALLS_GROW  # nobody knows yet what it bears
             self.asking = min(CALLS_MOST, self.asking + grow / self.asking)
-        elif not (answered and ev.took_ns < self.patience) and self.now - self.asking_cut > self.patience:
+        elif (ev.took_ns >= self.patience or ev.result in i.NEVER_RAN) and (
+                self.now - self.asking_cut > self.patience):  # an answer spoilt on its way tells of no load
             self.asking, self.asking_cut = max(CALLS_LEAST, CALLS_CUT * self.asking), self.now  # once a jam
         self.say("counter down", self.asking <= CALLS_LEAST)
         if c.win == win and answered:
             c.known, c.blind = max(0.0, ev.total + c.owed), 0.0
             r.before = c.known - r.charged
-        elif c.win == win and ev.result != i.Result.TIMEOUT:
+        elif c.win == win and ev.result in i.NEVER_RAN:
             c.owed += amount  # proven not added; after a time-out it may have been
         if not r.decided:
             self.decide(r, r.before)
@@ -258,6 +260,7 @@
         best = self.pick(r)
         if best is None or (r.sent == 0 and not self.ceiling(r)):
             return self.finish(r)
+        r.first_sent = r.first_sent or self.now
         n, r.sent = r.sent, r.sent + 1
         r.tried.append(best.id)
         r.live[n] = best.id
@@ -282,11 +285,17 @@
             self.forget(r)
         elif not r.live and not r.stream:
             over = ev.result == i.Result.MOOT or r.sent >= self.s.max_attempts or self.credit < 1
-            if over or (r.cls.effect != SAFE and r.may_ran):
+            if over or not self.repeatable(r):
                 return self.finish(r)
             self.credit -= 1
             self.dispatch(r)
 
+    def repeatable(self, r: Request) -> bool:
+        """Another attempt does no harm: nothing has run, or what runs again is safe or dropped by its key."""
+        keyed = r.cls.effect == i.Effect.KEYED and r.cls.scope == i.Scope.ALL
+        in_time = self.now - r.first_sent < KEY_SHARE * r.cls.key_ttl_ns
+        return not r.may_ran or r.cls.effect == SAFE or keyed and in_time
+
     def count_out(self, r: Request, n: int) -> None:
         self.out += n
         r.who.out += n
--- a/mapleline/policy/state.py
+++ b/mapleline/policy/state.py
@@ -69,6 +69,7 @@
     end: int = 0  #: after this no answer can earn
     live: dict[int, int] = field(default_factory=dict)  #: server by attempt number
     sent: int = 0
+    first_sent: int = 0
     before: float | None = None  #: the count before this request
     call_win: int = 0
     charged: float = 0.0  #: units that it has put on the count
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -86,6 +86,20 @@
     assert 1 <= sends <= 12  # a half of 8 a window and its start, not 400
 
 
+@pytest.mark.parametrize("result", [R.TIMEOUT, R.ERROR, R.RESET])
+def test_an_answer_spoilt_on_its_way_is_neither_added_again_nor_taken_for_load(result):
+    """The amount was added; each such answer also halved the share of tries that call the counter."""
+    g = Gateway()
+    for _ in range(5):
+        _, (call,) = ask(g, units=1.0)
+        assert call.amount == 1.0
+        counted(g, call, 0.0, result)
+    assert g.brain.asking == 1.5
+    _, (call,) = ask(g, units=1.0)
+    counted(g, call, 0.0, R.TIMEOUT, took=50 * MS)
+    assert g.brain.asking < 1.5  # one that did not come in time does
+
+
 def test_answer_after_the_end_sends_nothing():
     g = Gateway()
     rid, (call,) = ask(g)
@@ -132,6 +146,15 @@
     assert only(acts, i.Fail) and not only(acts, i.Send) + only(acts, i.Refuse)
 
 
+@pytest.mark.parametrize(("scope", "wait", "again"), [(i.Scope.ALL, 0, True), (i.Scope.ALL, 2 * S, False),
+                                                      (i.Scope.CELL, 0, False)])
+def test_keyed_goes_again_only_while_all_servers_drop_the_repeat(scope, wait, again):
+    g = Gateway(classes=[i.RequestClass(S, 4 * S, i.Effect.KEYED, scope, 2 * S)])
+    rid, acts = g.arrive()
+    acts = g.end(rid, only(acts, i.Send)[0].server, R.ERROR, wait=wait)
+    assert bool(only(acts, i.Send)) is again and bool(only(acts, i.Fail)) is not again
+
+
 def test_safe_goes_again_elsewhere():
     g = Gateway()
     rid, acts = g.arrive()
