Count a burst that a customer saved up beside the two windows; call less for plain tries

The estimate is within the limit of one window, so a customer that stayed below its rate loses the burst it saved.

Kept: the windows decide as before, and only while the counter bears a call a try a customer with two requests' units saved up is let in as well.

--- a/mapleline/policy/brain.py
+++ b/mapleline/policy/brain.py
@@ -23,8 +23,9 @@
 BLIND = 0.5  # without an answer half of a request must fit: lets in too much as often as too little
 ODDS_START = 2 / 3  # of a try being inside its quota, before anything is seen: most are
 ODDS_GAIN, PLAN_GAIN = 0.5, 0.05  # weight of the newest answer in a customer's odds, and in a plan's
-CALLS_LEAST, CALLS_FIRST, CALLS_EASE, CALLS_MOST = 0.1, 0.3, 1.2, 1.5  # a try: when dead; at start; side ones
-CALLS_EVEN = 0.9  # of the mean share of calls goes to tries whose answer seems plain: counts must stay true
+CALLS_LEAST, CALLS_FIRST, CALLS_EASE, CALLS_MOST = 0.1, 0.3, 1.05, 1.1  # when dead; at start; side ones
+CALLS_EVEN = 0.6  # of the mean share of calls goes to tries whose answer seems plain: counts must stay true
+SAVED_LEAST = 2.0  # of a request must be saved up: what other gateways add unseen may be as much again
 CALLS_CUT, CALLS_GROW = 0.5, 0.015  # by a late answer; by a quick one, over the share: even growth in time
 AIM_QUEUE = 0.36  # answers later than this share of the aim mean too much is out: leaves room for a retry
 MISS_SHARE = 1 / 16  # a counter answer slower than this share of the shortest aim is not waited for
@@ -104,6 +105,8 @@
             # Never above the limit: what lies beyond was refused, if not taken off again.
             c.prev = min(self.limit(plan), total) if follows else 0.0
             c.win, c.known, c.blind, c.owed, c.own = win, 0.0, 0.0, 0.0, 0.0
+        gained = plan.rate * (self.now - c.saved_at) / 1e9 if c.saved_at else self.limit(plan)
+        c.saved, c.saved_at = min(self.limit(plan), c.saved + gained), self.now
         return 1.0 - into / self.window(plan)
 
     def ask(self, r: Request) -> None:
@@ -114,13 +117,13 @@
         stakes = min(odds, odds - self.gain(r)) * r.cls.worth * r.plan.price * r.ev.units
         self.mean_stakes += PLAN_GAIN * (stakes - self.mean_stakes)
         share = self.asking * max(CALLS_EVEN, stakes / self.mean_stakes)
-        if self.asking < CALLS_EVEN and self.thin(r) and self.over.get(r.ev.customer, 0) > self.now:
+        if self.asking < 1 and self.thin(r) and self.over.get(r.ev.customer, 0) > self.now:
             return self.finish(r, self.over[r.ev.customer] - self.now, True)
         if not self.s.may_count or self.rng.random() > share:
             return self.decide(r, None)
         # A try that asks stands for those let in that did not.  A refused try's units block the customer
         # elsewhere: where the last totals already speak against it, the call only reads.
-        if c.prev * left + c.known + c.blind / c.share <= self.limit(r.plan):
+        if c.prev * left + c.known + c.blind / c.share <= self.limit(r.plan) or self.saved_up(r):
             r.charged = r.ev.units / (min(1.0, share) if self.thin(r) and self.gain(r) > 0 else 1.0)
         c.owed += r.charged
         self.call(r)
@@ -133,6 +136,11 @@
         self.acts.append(i.Count(name, c.owed, min(NAME_LIFE_NS, 3 * self.window(r.plan))))
         c.owed = 0.0
 
+    def saved_up(self, r: Request) -> bool:
+        """A window's limit forgets the burst that a customer saved up by staying below its rate; that lets
+        it in beyond the limit.  Only where the counter bears a call a try: this is as good as the totals."""
+        return self.asking >= 1 and r.who.saved + r.charged >= SAVED_LEAST * r.ev.units
+
     def thin(self, r: Request) -> bool:
         """This gateway's part of the limit is less than this one request, as over hundreds of gateways."""
         return self.limit(r.plan) * r.who.share < r.ev.units
@@ -160,6 +168,8 @@
             self.asking, self.asking_cut = max(CALLS_LEAST, CALLS_CUT * self.asking), self.now  # once a jam
         self.say("counter down", self.asking <= CALLS_LEAST)
         if c.win == win and answered:
+            self.roll(c, r.plan)
+            c.saved += c.known + c.blind / c.share - max(0.0, ev.total + c.owed)
             c.known, c.blind = max(0.0, ev.total + c.owed), 0.0
             r.before = c.known - r.charged
         elif c.win == win and ev.result in i.NEVER_RAN:
@@ -172,7 +182,7 @@
         c, u, left, limit = r.who, r.ev.units, self.roll(r.who, r.plan), self.limit(r.plan)
         r.decided, before = True, before if r.call_win == c.win else None
         estimate = c.prev * left + (c.known if before is None else before)
-        inside = estimate <= limit
+        inside = estimate <= limit or before is not None and self.saved_up(r)
         if before is not None:
             kind, odds = (r.ev.plan, r.ev.repeat), self.odds_of(r)
             c.odds = odds + ODDS_GAIN * (inside - odds)
@@ -185,6 +195,7 @@
         if inside and self.open_room(r) or self.extra(r):
             c.own += u
             c.blind += u if before is None else 0.0
+            c.saved -= u / c.share if before is None else 0.0
             if not r.charged and not (before is None and self.thin(r)):
                 c.owed += u
             r.charged = r.charged or u
@@ -304,6 +315,7 @@
         """The request is over: take a refused try's units off again, stop what is still out, drop it."""
         if r.charged and r.sent == 0 and r.plan.rate > 0 and r.call_win == r.who.win:
             r.who.known -= r.charged
+            r.who.saved += r.charged
             r.who.owed -= r.charged
             if self.asking > CALLS_EASE and self.s.may_count:  # else with the next add
                 self.call(r)
--- a/mapleline/policy/state.py
+++ b/mapleline/policy/state.py
@@ -29,6 +29,8 @@
     owed: float = 0.0  #: units to go with the next add
     own: float = 0.0  #: own admissions in this window
     prev: float = 0.0  #: last seen total of the previous window
+    saved: float = 0.0  #: units its quota holds by the totals seen: filled by the rate, up to a burst
+    saved_at: int = 0  #: when that was so; 0 before anything is known
     odds: float = -1.0  #: share of its tries inside when the counter answered; below 0: not seen
     share: float = 0.0  #: this gateway's part of the customer's use
     store: float = 0.0  #: this gateway's part of the hard ceiling
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -40,10 +40,30 @@
         _, (call,) = ask(g)
         counted(g, call, 8.0)
         _, (call,) = ask(g, wait=6 * S)  # half way through the next window
+        g.brain.customers[5].saved = 0.0
         acts = counted(g, call, before + 1.0)
         assert bool(only(acts, i.Send)) is sent
 
 
+@pytest.mark.parametrize(
+    ("seen", "asking", "sent"),
+    [
+        (0, 1.1, True),  # its store was full again by the next window
+        (4 * S - 100 * MS, 1.1, False),  # and here not
+        (0, 0.9, False),  # with fewer calls than tries the totals are too old to go by
+    ],
+)
+def test_a_burst_saved_up_counts_beside_the_two_windows(seen, asking, sent):
+    """On quiet days a quarter of the tries were refused with room in their quota: windows forget it."""
+    g = Gateway()
+    _, (call,) = ask(g, wait=seen)
+    counted(g, call, 6.0)
+    _, (call,) = ask(g, wait=6 * S - seen)  # half way through the next window
+    g.brain.asking = asking
+    acts = counted(g, call, 7.0)  # 6 x 1/2 + 6 against 8
+    assert bool(only(acts, i.Send)) is sent
+
+
 def test_known_excess_only_reads():
     g = Gateway()
     g.do(i.Timer(2), wait=4 * S - 1)
@@ -121,6 +141,7 @@
     _, (call,) = ask(g)
     counted(g, call, 8.0)
     _, (call,) = ask(g, wait=5 * S)  # a quarter into the next window: 8 x 3/4 weigh
+    g.brain.asking = 0.9  # nothing but the two windows counts
     (refusal,) = only(counted(g, call, 1.0 + min(before, 4.0) if before < 10 else before), i.Refuse)
     assert refusal.over_quota
     # 6 + 4 over 8: a quarter of the window more brings the previous total's part down to 4.
