Let the share of tries that call the counter follow the wait for its answers

Tries that do not call are decided by old totals: 0.014 for over quota and 0.05 of what is inside refused.

Now an answer moves the share in proportion to its wait, up below 0.6 of the patience and down above; only an answer that is missing, or a refusal, halves it.

--- a/mapleline/policy/brain.py
+++ b/mapleline/policy/brain.py
@@ -24,9 +24,10 @@
 ODDS_START = 2 / 3  # of a try being inside its quota, before anything is seen: most are
 ODDS_GAIN, PLAN_GAIN = 0.5, 0.05  # weight of the newest answer in a customer's odds, and in a plan's
 CALLS_LEAST, CALLS_FIRST, CALLS_EASE, CALLS_MOST = 0.1, 0.3, 1.05, 1.1  # when dead; at start; side ones
+CALLS_WAIT = 0.6  # of the patience: quicker answers let more tries call, slower ones fewer
 CALLS_EVEN = 0.6  # of the mean share of calls goes to tries whose answer seems plain: counts must stay true
 SAVED_LEAST = 2.0  # of a request must be saved up: what other gateways add unseen may be as much again
-CALLS_CUT, CALLS_GROW = 0.5, 0.015  # by a late answer; by a quick one, over the share: even growth in time
+CALLS_CUT, CALLS_GROW = 0.5, 0.015  # by a missing answer; by a quick one, over the share: even in time
 AIM_QUEUE = 0.36  # answers later than this share of the aim mean too much is out: leaves room for a retry
 MISS_SHARE = 1 / 16  # a counter answer slower than this share of the shortest aim is not waited for
 BLAME, PRAISE = 0.5, 0.1  # part of the way to "bad" by a proven failure, back by an answer
@@ -160,9 +161,10 @@
             return
         r, win, amount = queue.pop(0)
         c, answered = r.who, ev.result == OK
-        if answered and ev.took_ns < self.patience / 4:
+        if answered:
             grow = CALLS_GROW if self.asking_cut else 4 * CALLS_GROW  # nobody knows yet what it bears
-            self.asking = min(CALLS_MOST, self.asking + grow / self.asking)
+            grow *= 1 - ev.took_ns / (CALLS_WAIT * self.patience)
+            self.asking = max(CALLS_LEAST, min(CALLS_MOST, self.asking + grow / self.asking))
         elif (ev.took_ns >= self.patience or ev.result in i.NEVER_RAN) and (
                 self.now - self.asking_cut > self.patience):  # an answer spoilt on its way tells of no load
             self.asking, self.asking_cut = max(CALLS_LEAST, CALLS_CUT * self.asking), self.now  # once a jam
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -120,6 +120,18 @@
     assert g.brain.asking < 1.5  # one that did not come in time does
 
 
+@pytest.mark.parametrize(("took", "grows"), [(2, True), (15, True), (25, False), (40, False)])
+def test_the_share_of_tries_that_call_follows_the_wait_for_the_counter(took, grows):
+    """It grew only on answers within a quarter of the patience: a slow counter stood idle for a third."""
+    g = Gateway(count_wait_ns=200 * MS, classes=[i.RequestClass(640 * MS, 4 * S)])  # a patience of 40 ms
+    g.brain.asking = start = 0.5
+    for _ in range(20):
+        for call in ask(g, wait=10 * MS)[1]:
+            counted(g, call, 1.0, took=took * MS)
+    assert (g.brain.asking > start) is grows
+    assert 0.2 < g.brain.asking  # never by half for an answer that came
+
+
 def test_answer_after_the_end_sends_nothing():
     g = Gateway()
     rid, (call,) = ask(g)
