Read chunked request bodies; turn down requests without exactly one Host

An ordinary client that sends its body in chunks (RFC 9112, section 7.1) got a 411, and a request without Host, or with two, was served where section 3.2 wants a 400. Chunks are now decoded as they come, each byte looked at once and the body held in pooled buffers; before, a chunked answer was parsed anew from its start with each read, which a slow sender could use. Size lines, framing in all and trailers are bounded, trailers that belong into a head are refused in requests, Content-Length beside Transfer-Encoding stays refused (400), as does HTTP/1.0 with chunks; other codings get a 501.

--- a/mapleline/http1/messages.py
+++ b/mapleline/http1/messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from .buffers import BufferPool, Inbox
+from .chunked import BadChunk, ChunkedBody
 
 MOST_HEAD = 8 * 1024
 MOST_BODY = 64 * 1024
@@ -17,13 +18,14 @@
 HEADER_LINES = re.compile(rb"(?:" + TOKEN + rb":[^\x00\r\n]*\r\n)*")
 REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.([01])")
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00\r\n]*)?")
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?")
+# uri-host [":" port] (RFC 9110, section 7.2).  Two Host lines joined have a space, which none may hold.
+HOST = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[!$&'()*+,;=\-._~%0-9A-Za-z]*)(?::[0-9]{0,5})?")
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large", 429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 501: b"Not Implemented",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 
 Headers = dict[bytes, bytes]
@@ -84,44 +86,19 @@
     return int(text)
 
 
-def _read_chunks(data: bytes, at: int) -> tuple[bytes, int] | None:
-    """The body of a chunked message and where it ends, or None while it is not whole."""
-    parts, size = [], 0
-    while True:
-        eol = data.find(b"\r\n", at)
-        if eol < 0:
-            return None
-        match = CHUNK_SIZE.fullmatch(data, at, eol)
-        if not match:
-            raise Malformed(400, "malformed chunk")
-        length = int(match[1], 16)
-        size += length
-        if size > MOST_BODY:
-            raise Malformed(413, "body too large")
-        at = eol + 2
-        if length == 0:
-            if data.startswith(b"\r\n", at):
-                return b"".join(parts), at + 2
-            end = data.find(END_OF_HEAD, at)
-            return (b"".join(parts), end + 4) if end >= 0 else None
-        if len(data) < at + length + 2:
-            return None
-        if data[at + length : at + length + 2] != b"\r\n":
-            raise Malformed(400, "malformed chunk")
-        parts.append(data[at : at + length])
-        at += length + 2
-
-
 class MessageReader:
     """Takes bytes as they come, split or run together, and gives whole messages.
 
     A message that arrives whole is parsed where it lies; only what must wait is copied to a pooled buffer.
     """
 
-    __slots__ = ("_data", "_inbox", "_interim", "_need")
+    __slots__ = ("_chunks", "_data", "_inbox", "_interim", "_need", "_pool", "_start")
 
     def __init__(self, pool: BufferPool) -> None:
+        self._pool = pool
         self._inbox = Inbox(pool)
+        self._chunks: ChunkedBody | None = None  # the body in hand, its head already taken out
+        self._start: tuple | None = None  # that head
         self._data = b""  # the newest bytes, not yet looked at
         self._need = 0  # the message in hand is not whole with less than this
         self._interim = 0  # 1xx before the answer in hand
@@ -129,7 +106,8 @@
     @property
     def waiting(self) -> int:
         """Bytes taken in that belong to no message given out."""
-        return self._inbox.size + len(self._data)
+        held = 0 if self._chunks is None else self._chunks.held + 1
+        return self._inbox.size + len(self._data) + held
 
     def feed(self, data: bytes) -> None:
         if self._data:
@@ -142,6 +120,9 @@
         """Nothing that waits will be read any more; its buffers go back now."""
         self._inbox.take()
         self._data = b""
+        if self._chunks is not None:
+            self._chunks.take()
+            self._chunks = None
 
     def _all(self) -> bytes:
         if self._inbox.size:
@@ -177,30 +158,72 @@
         line, _, block = data[: end + 2].partition(b"\r\n")
         return line, block, end + 4
 
-    def next_request(self) -> Request | None:
-        head = self._head()
-        if head is None:
+    def _chunked(self) -> bytes | None:
+        """The body in chunks, once it is whole."""
+        body, data = self._chunks, self._all()
+        try:
+            end = body.feed(data)
+        except BadChunk as err:
+            raise Malformed(err.status, err.why) from None
+        self._done(end)
+        if not body.whole:
             return None
-        line, block, start = head
-        match = REQUEST_LINE.fullmatch(line)
-        if not match:
-            raise Malformed(400, "malformed request line")
-        headers = parse_headers(block)
-        if b"transfer-encoding" in headers:
-            raise Malformed(411, "a body needs a Content-Length")
-        end = start + (_length(headers) or 0)
-        if len(self._data) < end:
-            self._wait(end)
+        self._chunks = None
+        return body.take()
+
+    def next_request(self) -> Request | None:
+        if self._chunks is None:
+            head = self._head()
+            if head is None:
+                return None
+            line, block, start = head
+            match = REQUEST_LINE.fullmatch(line)
+            if not match:
+                raise Malformed(400, "malformed request line")
+            method, target, minor = match.groups()
+            headers = parse_headers(block)
+            coding = headers.get(b"transfer-encoding")
+            if coding is not None:
+                if b"content-length" in headers or minor == b"0":
+                    # Two readers of it may not agree where it ends (RFC 9112, section 6.1).
+                    raise Malformed(400, "Transfer-Encoding with Content-Length, or in HTTP/1.0")
+                if coding.lower() != b"chunked":
+                    raise Malformed(501, "unknown transfer coding")
+                length = 0
+            else:
+                length = _length(headers) or 0
+            host = headers.get(b"host")
+            if not HOST.fullmatch(host) if host is not None else minor == b"1":
+                raise Malformed(400, "no Host, two, or one that is none")  # RFC 9112, section 3.2
+            if coding is None:
+                end = start + length
+                if len(self._data) < end:
+                    self._wait(end)
+                    return None
+                body = self._data[start:end]
+                self._done(end)
+                return Request(method, target, headers, body, _keep_alive(minor, headers))
+            self._chunks = ChunkedBody(self._pool, MOST_BODY, strict=True)
+            self._start = (method, target, minor, headers)
+            self._done(start)
+        whole = self._chunked()
+        if whole is None:
             return None
-        body = self._data[start:end]
-        self._done(end)
-        return Request(match[1], match[2], headers, body, _keep_alive(match[3], headers))
+        (method, target, minor, headers), self._start = self._start, None
+        return Request(method, target, headers, whole, _keep_alive(minor, headers))
 
     def next_response(self, ended: bool = False) -> Response | None:
         """The next answer; `ended` says that the connection has closed, which ends a body with no length."""
         if ended:
             self._need = 0
         while True:
+            if self._chunks is not None:
+                whole = self._chunked()
+                if whole is None:
+                    return None
+                (status, headers, keep_alive), self._start = self._start, None
+                self._interim = 0
+                return Response(status, headers, whole, keep_alive)
             head = self._head()
             if head is None:
                 return None
@@ -220,11 +243,10 @@
             if b"transfer-encoding" in headers:
                 if headers[b"transfer-encoding"].lower() != b"chunked" or b"content-length" in headers:
                     raise Malformed(400, "unknown framing")
-                whole = _read_chunks(self._data, start)
-                if whole is None:
-                    self._wait(self.waiting + 1)
-                    return None
-                body, end = whole
+                self._chunks = ChunkedBody(self._pool, MOST_BODY, strict=False)
+                self._start = (status, headers, keep_alive)
+                self._done(start)
+                continue
             elif length is None:
                 if len(self._data) - start > MOST_BODY:
                     raise Malformed(413, "body too large")
