Give mapleline a command line, settings in HCL and a log through structlog

Groundwork for several workers. Our own settings are HCL read by python-hcl2: constants only, with ranges and defaults, unknown names refused with the nearest known one, each fault with its line. `check` tells every fault of a file in one go, for the platform's JSON too, whose reader can now keep its faults instead of raising the first. The log is structlog's, rendered by orjson as before, with a readable form on a terminal.

--- /dev/null
+++ b/mapleline/cli/commands.py
@@ -0,0 +1,150 @@
+"""The commands of the service: run, check, counters, completion."""
+
+from __future__ import annotations
+
+import os
+import signal
+from importlib import metadata
+from pathlib import Path
+
+import click
+from click.shell_completion import get_completion_class
+
+from .. import __name__ as PACKAGE
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+EXAMPLES = """
+\b
+Examples:
+  EDGE_CONFIG=config.json mapleline run
+  mapleline run --config config.json --settings deploy/mapleline.hcl --workers 4
+  mapleline check config.json deploy/mapleline.hcl
+  mapleline counters 4711
+  eval "$(mapleline completion bash)"
+"""
+
+
+def _version() -> str:
+    try:
+        return metadata.version(PACKAGE)
+    except metadata.PackageNotFoundError:  # run from a checkout that is not installed
+        return "0 (not installed)"
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=EXAMPLES)
+@click.version_option(_version(), prog_name="mapleline")
+def group() -> None:
+    """An ingress that holds the quotas of many customers on one shared service."""
+
+
+@group.command()
+@click.option("--config", type=FILE, envvar="EDGE_CONFIG", help="The platform's JSON (EDGE_CONFIG).")
+@click.option("--settings", type=FILE, envvar="EDGE_SETTINGS", help="Our own HCL (EDGE_SETTINGS).")
+@click.option("--workers", type=click.IntRange(1, 16), help="Processes that serve, over cores.workers.")
+def run(config: Path | None, settings: Path | None, workers: int | None) -> int:
+    """Serve until told to go (SIGTERM); SIGHUP reads the files again, SIGUSR1 prints the counters."""
+    from ..settings import own
+    from ..telemetry import configure_log, log
+
+    if config is not None:
+        os.environ["EDGE_CONFIG"] = str(config)
+    told = own.Own()
+    if settings is not None:
+        try:
+            told, faults = own.load(str(settings))
+        except OSError as err:
+            raise click.UsageError(f"--settings: {err.strerror}: {settings}") from None
+        for fault in faults:
+            log("configuration", file=str(settings), fault=str(fault))
+        if faults:
+            return 2
+    configure_log(told.log.form)
+    if (workers or told.cores.workers) == 1:
+        from ..ingress import main
+
+        return main()
+    from ..cores.supervisor import main as supervise
+
+    return supervise(told, workers or told.cores.workers)
+
+
+@group.command()
+@click.argument("files", nargs=-1, required=True, type=FILE)
+def check(files: tuple[Path, ...]) -> int:
+    """Check configuration: the platform's JSON (.json) and our own HCL (.hcl).
+
+    Every fault is told, a line each, with its key.  Status 1 if there is one.
+    """
+    found = 0
+    for file in files:
+        try:
+            faults = _faults_of_hcl(file) if file.suffix == ".hcl" else _faults_of_json(file)
+        except OSError as err:
+            faults = [err.strerror or str(err)]
+        found += len(faults)
+        for fault in faults:
+            click.echo(f"{file}: {fault}")
+        if not faults:
+            click.echo(f"{file}: good")
+    return 1 if found else 0
+
+
+def _faults_of_hcl(file: Path) -> list[str]:
+    from ..settings import own
+
+    return [str(fault) for fault in own.load(str(file))[1]]
+
+
+def _faults_of_json(file: Path) -> list[str]:
+    """Addresses that the environment may give are asked for only where they are there and wrong."""
+    from ..net.discovery import Directory
+    from ..settings import platform
+
+    faults: list[platform.ConfigError] = []
+    try:
+        raw = platform.read_file(str(file))
+    except platform.ConfigError as err:
+        return [str(err).removeprefix("EDGE_CONFIG: ")]
+    stand_in = {f"EDGE_{name}": "environment:1" for name in ("LISTEN", "DISCOVERY", "COUNTER")}
+    config = platform.read_config(raw, stand_in, faults)
+    texts = [str(fault) for fault in faults]
+    try:
+        Directory(config.zone_names, config.kind_names).read(config.known, cached=True)
+    except ValueError as err:
+        texts.append(f"known: {err}")
+    return list(dict.fromkeys(texts))
+
+
+@group.command()
+@click.argument("pid", type=click.IntRange(2))
+def counters(pid: int) -> int:
+    """Ask a running ingress (its process id) to print its counters to its log."""
+    try:
+        command = Path(f"/proc/{pid}/cmdline").read_bytes()
+    except OSError:
+        raise click.ClickException(f"no process {pid}") from None
+    if b"mapleline" not in command:
+        # The signal would end a process that does not expect it.
+        raise click.ClickException(f"process {pid} is no mapleline")
+    try:
+        os.kill(pid, signal.SIGUSR1)
+    except OSError as err:
+        raise click.ClickException(f"process {pid}: {err.strerror}") from None
+    click.echo(f"asked process {pid}: its log has the line `counters`")
+    return 0
+
+
+@group.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> int:
+    """Print the lines that make a shell complete our commands; see the example of `mapleline --help`."""
+    kind = get_completion_class(shell)
+    if kind is None:
+        raise click.ClickException(f"no completion for {shell}")
+    click.echo(kind(group, {}, "mapleline", "_MAPLELINE_COMPLETE").source())
+    return 0
+
+
+@group.group()
+def lab() -> None:
+    """Our own laboratory: stand-in parties, load, and what the ingress makes of them."""
--- /dev/null
+++ b/mapleline/cores/__init__.py
@@ -0,0 +1,1 @@
+"""One ingress as several processes behind one address: a supervisor and its workers."""
--- /dev/null
+++ b/mapleline/ingress.py
@@ -0,0 +1,194 @@
+"""The real ingress: joins the parts and runs until it is told to go."""
+
+from __future__ import annotations
+
+import gc
+import signal
+from dataclasses import replace
+from typing import Any
+
+from twisted.logger import globalLogPublisher
+
+from .engine import Engine
+from .http1.buffers import BufferPool
+from .http1.server import Translator
+from .net.alarm import ReactorAlarm, unix_clock
+from .net.clients import Front
+from .net.counter import CONNECTIONS, CounterDriver
+from .net.discovery import Directory, Watcher
+from .net.upstream import UpstreamPool
+from .policy import interface as i
+from .policy.brain import Brain
+from .settings import platform as configuration
+from .settings.platform import Address, Config, ConfigError
+from .telemetry import COUNTS, log, print_counters
+
+STAY_S = 0.75  # after SIGTERM clients still come for a while, and what comes is served
+HALF_IN_S = 2.0  # after that, for requests that have begun to come in
+LEFT_S = 0.05  # between two looks at whether everything is answered
+BACKLOG = 512
+SPARE_DESCRIPTORS = 40  # standard streams, epoll, the listener, discovery, those on their way out
+CLIENTS_SHARE = 0.55  # of the descriptors: clients keep more than they use, attempts need one each
+#: What a reload leaves as it is, by key of the file.
+KEPT = {"name": "name", "listen": "listen", "limits.sockets": "sockets", "settings": "start"}
+GC_THRESHOLD = 20_000  # objects; a request leaves no cycles, so a pause seldom finds anything
+
+
+class Ingress:
+    """The parts of one ingress."""
+
+    def __init__(self, reactor: Any, config: Config) -> None:
+        self.reactor, self.config = reactor, config
+        start = config.start
+        clock = unix_clock()
+        buffers = self.buffers = BufferPool()
+        self.engine = Engine(Brain(start), clock)
+        self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
+        room = config.sockets - SPARE_DESCRIPTORS - 2 * CONNECTIONS
+        for_clients = int(room * CLIENTS_SHARE)
+        self.upstreams = UpstreamPool(
+            reactor, self.engine, clock, buffers, config.dial_timeout_s, config.conn_idle_s,
+            room - for_clients,
+        )  # fmt: skip
+        self.engine.upstreams = self.upstreams
+        self.counter = self.engine.counter = CounterDriver(
+            reactor, self.engine, clock, buffers, config.counter, config.dial_timeout_s
+        )
+        translator = Translator(start, config.class_names, config.plan_names)
+        self.front = Front(
+            reactor, self.engine, translator, buffers, for_clients, config.open_cap,
+            start.max_retry_after_ns,
+        )  # fmt: skip
+        self.directory = Directory(config.zone_names, config.kind_names)
+        self.leaving = False
+        self.watcher = self._watcher(config.discovery)
+
+    def _watcher(self, address: Address, whole: bool = False) -> Watcher:
+        return Watcher(self.reactor, address, self.buffers, self.directory, self.told, whole)
+
+    def told(self, news: i.ServerNews) -> None:
+        """Addresses first: the module may send as soon as it knows."""
+        COUNTS["discovery.lines"] += len(news.servers)
+        self.upstreams.update(self.directory.places)
+        for line in news.servers:
+            if line.life == i.Life.DRAINING:  # nothing new will go there
+                self.upstreams.close_idle(line.server)
+        self.engine.news(news)
+        # An empty list from before the start is no reason to send clients here.
+        self.front.ready = not self.leaving and (bool(news.servers) or news.news != i.News.CACHED)
+
+    def run(self) -> None:
+        host, port = self.config.listen
+        known = self._read_known(self.directory, self.config)
+        try:
+            self.front.port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        except Exception as err:
+            raise ConfigError(f"listen: {err}") from None
+        self.told(known)
+        self.watcher.start()
+        self.reactor.callWhenRunning(self._serving)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD, 20, 20)
+        self.reactor.run()
+        print_counters("exit")
+
+    @staticmethod
+    def _read_known(directory: Directory, config: Config) -> i.ServerNews:
+        try:
+            return directory.read(config.known, cached=True)
+        except ValueError as err:
+            raise ConfigError(f"known: {err}") from None
+
+    def _serving(self) -> None:
+        """Say so only once signals are handled: SIGUSR1 before that ends the process."""
+        handlers = {
+            signal.SIGHUP: self.reload,
+            signal.SIGTERM: self.leave,
+            signal.SIGINT: self.leave,
+            signal.SIGUSR1: lambda: print_counters("asked"),
+        }
+        for number, handler in handlers.items():
+            signal.signal(number, lambda *_, handler=handler: self.reactor.callFromThread(handler))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one since the start counts now
+        bound = self.front.port.getHost()
+        listen = f"{bound.host}:{bound.port}"
+        log("serving", name=self.config.name, listen=listen, servers=len(self.directory.places))
+
+    def reload(self) -> None:
+        """Read the configuration anew: the counter and discovery move, all else stays until the next start.
+
+        A file that the program would not start with changes nothing.
+        """
+        try:
+            new = configuration.load()
+            self._read_known(Directory(new.zone_names, new.kind_names), new)
+        except ConfigError as err:
+            COUNTS["reload.failed"] += 1
+            return log("reload failed", fault=str(err))
+        COUNTS["reload.done"] += 1
+        old = self.config
+        self.config = replace(old, counter=new.counter, discovery=new.discovery)
+        if new.counter != old.counter:
+            self.counter.move(new.counter)
+        if new.discovery != old.discovery and self.watcher.running:
+            self.watcher.stop()
+            self.watcher = self._watcher(new.discovery, whole=True)
+            self.watcher.start()
+        new.start.seed = old.start.seed  # new in every file, and of use at a start only
+        kept = [key for key, field in KEPT.items() if getattr(new, field) != getattr(old, field)]
+        log("reloaded", counter=":".join(map(str, new.counter)), discovery=":".join(map(str, new.discovery)),
+            until_restart=kept)  # fmt: skip
+
+    def leave(self) -> None:
+        """Go on serving for a while, then take nothing new, finish what is open, and stop."""
+        if self.leaving:
+            return
+        self.leaving = True
+        log("told to leave", open=len(self.engine.requests))
+        self.front.ready = False
+        self.reactor.callLater(STAY_S, self._finish)
+
+    def _finish(self) -> None:
+        self.front.leave()
+        self._stop_when_done(self.reactor.seconds() + HALF_IN_S)
+
+    def _stop_when_done(self, last: float) -> None:
+        if self.engine.requests or self.front.unfinished(self.reactor.seconds() < last):
+            self.reactor.callLater(LEFT_S, self._stop_when_done, last)
+        else:
+            self.watcher.stop()
+            self.reactor.stop()
+
+
+def watch_twisted() -> None:
+    """What Twisted catches for us is a fault of ours: counted, and logged a few times."""
+
+    def observe(event: dict[str, Any]) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            COUNTS["twisted.caught"] += 1
+            if COUNTS["twisted.caught"] <= 20:
+                log("caught", why=failure.getErrorMessage(), trace=failure.getTraceback()[-2000:])
+
+    globalLogPublisher.addObserver(observe)
+
+
+def wait_for_reload() -> None:
+    """A reload asked for before there is anything to reload waits for it, and must not end the process."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+
+
+def main() -> int:
+    """One process that reads `EDGE_CONFIG` and serves; returns the exit code."""
+    wait_for_reload()
+    try:
+        config = configuration.load()
+        watch_twisted()
+        from twisted.internet import reactor  # installs the platform's reactor, so not before it is needed
+
+        Ingress(reactor, config).run()
+    except ConfigError as err:
+        log("configuration", fault=str(err))
+        return 2
+    return 0
--- /dev/null
+++ b/mapleline/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-in parties, open-loop load, and measurements.  `run` needs none of it."""
--- a/mapleline/net/discovery.py
+++ b/mapleline/net/discovery.py
@@ -13,11 +13,11 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from ..config import Address, read_address
 from ..http1.buffers import BufferPool
 from ..http1.client import ClientConnection
 from ..http1.messages import Response, write_request
 from ..policy import interface as i
+from ..settings.platform import Address, read_address
 from ..telemetry import COUNTS, log
 from .streams import Stream
 from .upstream import Place
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -12,12 +12,12 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from ..config import Address
 from ..engine import Attempt, Engine
 from ..http1.buffers import BufferPool
 from ..http1.client import ClientConnection
 from ..http1.messages import Response, write_request
 from ..policy.interface import Result
+from ..settings.platform import Address
 from ..telemetry import COUNTS
 from .streams import Stream
 
--- /dev/null
+++ b/mapleline/settings/own.py
@@ -0,0 +1,82 @@
+"""Our own settings: all that the platform's file does not know.  No file: the defaults."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass, field
+
+from . import schema
+from .hcl import Fault, parse
+
+
+@dataclass(frozen=True, slots=True)
+class Cores:
+    """Several workers behind one address; see docs/several-cores.md."""
+
+    workers: int = schema.whole(1, "processes that serve; 1 is the single process", 1, 16)
+    offer_ms: int = schema.whole(100, "a connection not taken in this time goes to another worker", 5, 10_000)
+    balance_ms: int = schema.whole(500, "between two looks at how the load lies; 0: never moved", 0, 60_000)
+    lean: float = schema.number(1.25, "a worker with this many times the mean load hands some over", 1.05, 10)
+    restart_pause_ms: int = schema.whole(100, "before a worker that died is replaced, doubled each time",
+                                         1, 60_000)  # fmt: skip
+    restart_pause_most_ms: int = schema.whole(5_000, "the longest such pause", 1, 600_000)
+    settled_ms: int = schema.whole(2_000, "a worker that served this long has not died at once", 1, 600_000)
+    deaths_most: int = schema.whole(5, "deaths at once in a row that end the program", 1, 1_000)
+    accounts: int = schema.whole(16_384, "customers whose use a worker shows to the others (80 bytes each)",
+                                 1_024, 1_048_576)  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """What goes to standard error."""
+
+    form: str = schema.word("auto", "json, text, or text where standard error is a terminal",
+                            ("auto", "json", "text"))  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Own:
+    """The whole file."""
+
+    cores: Cores = field(default_factory=Cores)
+    log: Log = field(default_factory=Log)
+
+
+BLOCKS = {f.name: f.default_factory for f in dataclasses.fields(Own)}
+
+
+def read(text: str) -> tuple[Own, list[Fault]]:
+    """The settings and every fault of the file, in the order of its lines."""
+    try:
+        top = parse(text)
+    except Fault as fault:
+        return Own(), [fault]
+    faults, parts, lines = list(top.faults), {}, {}
+    for name, value in top.values.items():
+        hint = "is a block: write it without '='" if name in BLOCKS else schema.nearest(name, list(BLOCKS))
+        faults.append(Fault(value.line, name, f"no such setting here; {hint}"))
+    for block in top.blocks:
+        if block.name not in BLOCKS:
+            why = f"unknown block; {schema.nearest(block.name, list(BLOCKS))}"
+            faults.append(Fault(block.line, block.key, why))
+        elif block.name in parts:
+            faults.append(Fault(block.line, block.name, f"stands twice, first on line {lines[block.name]}"))
+        elif block.labels:
+            faults.append(Fault(block.line, block.key, "this block has no label"))
+        else:
+            lines[block.name] = block.line
+            parts[block.name] = schema.read(BLOCKS[block.name], block, block.name, faults)
+    cores = parts.get("cores")
+    if cores is not None and cores.restart_pause_most_ms < cores.restart_pause_ms:
+        why = f"expected at least restart_pause_ms ({cores.restart_pause_ms})"
+        faults.append(Fault(lines["cores"], "cores.restart_pause_most_ms", why))
+    return Own(**parts), sorted(faults, key=lambda fault: fault.line)
+
+
+def load(path: str) -> tuple[Own, list[Fault]]:
+    """Read a file; raises OSError."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return read(file.read())
+    except UnicodeDecodeError:
+        return Own(), [Fault(0, "", "not UTF-8")]
--- a/mapleline/config.py
+++ b/mapleline/settings/platform.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from .policy import interface as i
+from ..policy import interface as i
 
 EFFECTS = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
 SCOPES = {"all": i.Scope.ALL, "zone": i.Scope.ZONE, "cell": i.Scope.CELL}
@@ -44,72 +44,87 @@
 class Section:
     """One JSON object of the configuration, read key by key."""
 
-    def __init__(self, raw: object, at: str) -> None:
-        if not isinstance(raw, dict):
-            raise ConfigError(f"{at or 'configuration'}: expected an object, got {_kind(raw)}")
-        self.raw: dict[str, Any] = raw
-        self._at = at
+    def __init__(self, raw: object, at: str, faults: list[ConfigError] | None = None) -> None:
+        self.raw: dict[str, Any] = {}
+        self._at, self._faults = at, faults
+        if isinstance(raw, dict):
+            self.raw = raw
+        else:
+            self._tell(ConfigError(f"{at or 'configuration'}: expected an object, got {_kind(raw)}"))
 
     def key(self, name: str) -> str:
         return f"{self._at}.{name}" if self._at else name
 
-    def fault(self, name: str, why: str) -> ConfigError:
-        return ConfigError(f"{self.key(name)}: {why}")
+    def fault(self, name: str, why: str) -> None:
+        """What is wrong with a key: raised, or kept where all faults are wanted."""
+        self._tell(ConfigError(f"{self.key(name)}: {why}"))
+
+    def _tell(self, fault: ConfigError) -> None:
+        if self._faults is None:
+            raise fault from None
+        self._faults.append(fault)
 
     def number(self, name: str, default: float = 0.0, least: float = 0.0) -> float:
         value = self.raw.get(name)
         if value is None:
             return default
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise self.fault(name, f"expected a number, got {_kind(value)}")
+            self.fault(name, f"expected a number, got {_kind(value)}")
+            return default
         if not least <= value <= MOST_NUMBER:
-            raise self.fault(name, f"expected {least:g} or more, got {value:g}")
+            self.fault(name, f"expected {least:g} or more, got {value:g}")
+            return default
         return float(value)
 
     def whole(self, name: str, default: int = 0, least: int = 0) -> int:
         value = self.number(name, default, least)
         if value != int(value):
-            raise self.fault(name, f"expected a whole number, got {value:g}")
+            self.fault(name, f"expected a whole number, got {value:g}")
+            return default
         raw = self.raw.get(name)
         return raw if isinstance(raw, int) else int(value)
 
     def flag(self, name: str) -> bool:
         value = self.raw.get(name)
         if value is not None and not isinstance(value, bool):
-            raise self.fault(name, f"expected true or false, got {_kind(value)}")
+            self.fault(name, f"expected true or false, got {_kind(value)}")
         return bool(value)
 
     def text(self, name: str, default: str = "") -> str:
         value = self.raw.get(name)
         if value is not None and not isinstance(value, str):
-            raise self.fault(name, f"expected text, got {_kind(value)}")
+            self.fault(name, f"expected text, got {_kind(value)}")
+            return default
         return default if value is None else value
 
     def word(self, name: str, words: Mapping[str, E], default: str) -> E:
         value = self.text(name, default)
         if value not in words:
-            raise self.fault(name, f"expected one of {', '.join(words)}, got {value!r}")
+            self.fault(name, f"expected one of {', '.join(words)}, got {value!r}")
+            return words[default]
         return words[value]
 
     def section(self, name: str) -> Section:
         value = self.raw.get(name)
-        return Section({} if value is None else value, self.key(name))
+        return Section({} if value is None else value, self.key(name), self._faults)
 
     def items(self, name: str) -> list[Any]:
         value = self.raw.get(name)
         if value is not None and not isinstance(value, list):
-            raise self.fault(name, f"expected a list, got {_kind(value)}")
+            self.fault(name, f"expected a list, got {_kind(value)}")
+            return []
         return value or []
 
     def sections(self, name: str) -> list[Section]:
-        return [Section(raw, f"{self.key(name)}[{n}]") for n, raw in enumerate(self.items(name))]
+        items = enumerate(self.items(name))
+        return [Section(raw, f"{self.key(name)}[{n}]", self._faults) for n, raw in items]
 
     def names(self, name: str) -> list[str]:
         values = self.items(name)
         for n, value in enumerate(values):
             if not isinstance(value, str):
-                raise self.fault(f"{name}[{n}]", f"expected text, got {_kind(value)}")
-        return values
+                self.fault(f"{name}[{n}]", f"expected text, got {_kind(value)}")
+        return [value for value in values if isinstance(value, str)]
 
 
 def _kind(value: object) -> str:
@@ -131,9 +146,11 @@
     )
 
 
-def read_settings(raw: object, seed: int, at: str = "") -> i.Start:
+def read_settings(
+    raw: object, seed: int, at: str = "", faults: list[ConfigError] | None = None
+) -> i.Start:  # fmt: skip
     """The settings object of the simulator and of a real ingress alike."""
-    top = Section(raw, at)
+    top = Section(raw, at, faults)
     limits, facts, rules = (top.section(name) for name in ("limits", "specifics", "invariants"))
     classes = [_read_class(section) for section in top.sections("classes")]
     plans = [
@@ -186,6 +203,7 @@
 
 
 Address = tuple[str, int]
+NOWHERE: Address = ("", 0)  # stands for an address at fault
 
 
 def read_address(text: str) -> Address:
@@ -219,36 +237,44 @@
 def _address(top: Section, name: str, environment: Mapping[str, str]) -> Address:
     text = top.text(name) or environment.get(f"EDGE_{name.upper()}", "")
     if not text:
-        raise top.fault(name, "missing")
+        top.fault(name, "missing")
+        return NOWHERE
     try:
         return read_address(text)
     except ValueError as err:
-        raise top.fault(name, str(err)) from None
+        top.fault(name, str(err))
+        return NOWHERE
 
 
-def read_config(raw: object, environment: Mapping[str, str]) -> Config:
-    """Check the whole configuration; where a key is missing the environment's variable may stand in."""
-    top = Section(raw, "")
+def read_config(
+    raw: object, environment: Mapping[str, str], faults: list[ConfigError] | None = None
+) -> Config:  # fmt: skip
+    """Check the whole configuration; where a key is missing the environment's variable may stand in.
+
+    Raises the first fault, or adds all of them to `faults`: what is returned then is of no other use.
+    """
+    top = Section(raw, "", faults)
     seed_text = top.text("seed", "0")
     try:
         seed = int(seed_text, 16)
     except ValueError:
-        raise top.fault("seed", f"expected hex digits, got {seed_text!r}") from None
+        seed = 0
+        top.fault("seed", f"expected hex digits, got {seed_text!r}")
     settings = top.section("settings")
-    start = read_settings(settings.raw, seed, "settings")
+    start = read_settings(settings.raw, seed, "settings", faults)
     names = {}
     for key in ("classes", "plans"):
         names[key] = [s.text("name") for s in settings.sections(key)]
         if not names[key]:
-            raise settings.fault(key, "missing or empty")
+            settings.fault(key, "missing or empty")
         for n, name in enumerate(names[key]):
             if not name or names[key].index(name) != n:
-                raise settings.fault(f"{key}[{n}].name", f"missing or used twice: {name!r}")
+                settings.fault(f"{key}[{n}].name", f"missing or used twice: {name!r}")
     for n, cls in enumerate(start.classes):
         if cls.deadline_ns <= 0:
-            raise settings.fault(f"classes[{n}].deadline_ns", "expected more than 0")
+            settings.fault(f"classes[{n}].deadline_ns", "expected more than 0")
     if start.gateway >= start.gateways:
-        raise settings.fault("me", f"expected less than settings.balancers ({start.gateways})")
+        settings.fault("me", f"expected less than settings.balancers ({start.gateways})")
     limits = settings.section("limits")
     return Config(
         name=top.text("name") or environment.get("EDGE_NAME", "ingress"),
@@ -268,16 +294,20 @@
     )
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """Read the file that `EDGE_CONFIG` names."""
-    path = environment.get("EDGE_CONFIG")
-    if not path:
-        raise ConfigError("EDGE_CONFIG: not set")
+def read_file(path: str) -> object:
+    """The JSON of a file."""
     try:
         with open(path, "rb") as file:
-            raw = orjson.loads(file.read())
+            return orjson.loads(file.read())
     except OSError as err:
         raise ConfigError(f"EDGE_CONFIG: {err.strerror or err}: {path}") from None
     except ValueError as err:
         raise ConfigError(f"EDGE_CONFIG: not JSON: {err}") from None
-    return read_config(raw, environment)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that `EDGE_CONFIG` names."""
+    path = environment.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG: not set")
+    return read_config(read_file(path), environment)
--- a/mapleline/simwire/wire.py
+++ b/mapleline/simwire/wire.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from ..config import ConfigError, read_settings
 from ..policy import interface as i
+from ..settings.platform import ConfigError, read_settings
 
 HEAD = struct.Struct("<IQI")
 REPLY = struct.Struct("<II")
