Serve with several workers: a supervisor that hands out connections, news and one count

One ingress used one core. Connections are offered to the worker that has fewest and are the supervisor's until a running worker has claimed them; a stalled worker's go to another. Server news is merged for who is slow, and a veto in shared memory, looked at right before a request is written, keeps new work from a drained server whatever a worker has heard. Customers' counts are one for all workers: each shows its own rows in shared memory with one writer a word, and the module takes the newest total and everybody's units since. Ids of open requests hold across workers. Where workers = 1 this is the single process as before: the module's hook is None.

--- a/deploy/mapleline.hcl
+++ b/deploy/mapleline.hcl
@@ -10,7 +10,7 @@
   restart_pause_most_ms = 5000
   settled_ms            = 2000  # a worker that has served this long has not died at once
   deaths_most           = 5     # deaths at once in a row that end the program
-  accounts              = 16384 # customers whose use a worker shows to the others (80 bytes each)
+  accounts              = 16384 # customers whose use a worker shows to the others (112 bytes each)
 }
 
 log {
--- a/mapleline/cli/commands.py
+++ b/mapleline/cli/commands.py
@@ -143,8 +143,3 @@
         raise click.ClickException(f"no completion for {shell}")
     click.echo(kind(group, {}, "mapleline", "_MAPLELINE_COMPLETE").source())
     return 0
-
-
-@group.group()
-def lab() -> None:
-    """Our own laboratory: stand-in parties, load, and what the ingress makes of them."""
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -37,14 +37,17 @@
 class Ingress:
     """The parts of one ingress."""
 
-    def __init__(self, reactor: Any, config: Config) -> None:
+    def __init__(
+        self, reactor: Any, config: Config, brain: Brain | None = None, clock_start: int | None = None,
+        lanes: int = CONNECTIONS,
+    ) -> None:  # fmt: skip
         self.reactor, self.config = reactor, config
         start = config.start
-        clock = unix_clock()
+        clock = unix_clock(clock_start)
         buffers = self.buffers = BufferPool()
-        self.engine = Engine(Brain(start), clock)
+        self.engine = Engine(brain or Brain(start), clock)
         self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
-        room = config.sockets - SPARE_DESCRIPTORS - 2 * CONNECTIONS
+        room = config.sockets - SPARE_DESCRIPTORS - 2 * lanes
         for_clients = int(room * CLIENTS_SHARE)
         self.upstreams = UpstreamPool(
             reactor, self.engine, clock, buffers, config.dial_timeout_s, config.conn_idle_s,
@@ -52,7 +55,7 @@
         )  # fmt: skip
         self.engine.upstreams = self.upstreams
         self.counter = self.engine.counter = CounterDriver(
-            reactor, self.engine, clock, buffers, config.counter, config.dial_timeout_s
+            reactor, self.engine, clock, buffers, config.counter, config.dial_timeout_s, lanes
         )
         translator = Translator(start, config.class_names, config.plan_names)
         self.front = Front(
@@ -87,9 +90,7 @@
         self.told(known)
         self.watcher.start()
         self.reactor.callWhenRunning(self._serving)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(GC_THRESHOLD, 20, 20)
+        calm_gc()
         self.reactor.run()
         print_counters("exit")
 
@@ -158,7 +159,17 @@
             self.reactor.callLater(LEFT_S, self._stop_when_done, last)
         else:
             self.watcher.stop()
-            self.reactor.stop()
+            self._stop()
+
+    def _stop(self) -> None:
+        self.reactor.stop()
+
+
+def calm_gc() -> None:
+    """What there is after the start stays, and is looked at no more."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 20, 20)
 
 
 def watch_twisted() -> None:
--- a/mapleline/net/alarm.py
+++ b/mapleline/net/alarm.py
@@ -7,12 +7,18 @@
 from typing import Any
 
 
-def unix_clock() -> Callable[[], int]:
+def clock_start() -> int:
+    """Unix time in ns at which the monotonic clock was 0."""
+    return time.time_ns() - time.monotonic_ns()
+
+
+def unix_clock(start: int | None = None) -> Callable[[], int]:
     """Unix time in ns that never goes back: the wall clock once, then the monotonic one.
 
-    The names of counts carry the window's number, so all ingresses must read nearly the same time.
+    The names of counts carry the window's number, so all ingresses must read nearly the same time;
+    processes of one ingress are given one `start`, whatever steps the wall clock makes between theirs.
     """
-    start = time.time_ns() - time.monotonic_ns()
+    start = clock_start() if start is None else start
     monotonic = time.monotonic_ns
 
     def now() -> int:
--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 from collections import OrderedDict
 from itertools import takewhile
+from socket import socket, socketpair
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
@@ -39,6 +41,7 @@
         self.since = front.reactor.seconds()  #: of the last change of what it waits for
         self.reading = True
         self.discarded = 0
+        self.recent = 0.0  #: requests taken, the older ones weighing less; see `Front.fade`
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -87,14 +90,14 @@
         if request.target == READY_PATH and request.method == b"GET":
             return self.answer(200 if self.front.ready else 503)
         wish = self.front.translator.read(request)
-        if wish.id in self.front.ids:
-            # Sent on, it would be a second copy of that request to whoever looks at ids.
-            raise Malformed(409, "the id of an open request")
         if len(self.front.engine.requests) >= self.front.open_cap:
             COUNTS["client.over_open_cap"] += 1
             return self.refused(self.front.retry_ns, False)
+        if not self.front.ids.claim(wish.id):
+            # Sent on, it would be a second copy of that request to whoever looks at ids.
+            raise Malformed(409, "the id of an open request")
         self.id = wish.id
-        self.front.ids.add(self.id)
+        self.recent += 1
         opened = self.front.engine.arrive(wish.arrival, wish, self)
         if not opened.answered:
             self.open = opened
@@ -118,7 +121,7 @@
 
     def _forget_id(self) -> None:
         if self.id:
-            self.front.ids.discard(self.id)
+            self.front.ids.release(self.id)
             self.id = b""
 
     def _next_if_connected(self) -> None:
@@ -165,6 +168,23 @@
         self.transport.loseConnection()
 
 
+class OpenIds:
+    """The ids of requests in hand; of several workers each would need to know the others' (`cores.board`)."""
+
+    def __init__(self) -> None:
+        self._held: set[bytes] = set()
+
+    def claim(self, request_id: bytes) -> bool:
+        """Hold the id; False if it is held."""
+        if request_id in self._held:
+            return False
+        self._held.add(request_id)
+        return True
+
+    def release(self, request_id: bytes) -> None:
+        self._held.discard(request_id)
+
+
 class Front(Factory):
     """All client connections: their cap, their sweeps, and leaving."""
 
@@ -179,8 +199,9 @@
         self.ready = False
         self.leaving = False  #: every answer is the last on its connection
         self.streams: OrderedDict[ClientStream, None] = OrderedDict()  # in the order of `since`
-        self.ids: set[bytes] = set()  #: of the requests in hand
+        self.ids = OpenIds()  #: of the requests in hand
         self.port: Any = None
+        self._adopting_asked = False
         self._accepting = True
         reactor.callLater(SWEEP_S, self._sweep)
 
@@ -188,7 +209,17 @@
         if len(self.streams) >= self.most + OVERSHOOT:
             COUNTS["client.turned_away"] += 1  # a turn accepts dozens, and accepting stops only after it
             return None
-        return ClientStream(self)
+        stream = ClientStream(self)
+        stream.asked = self._adopting_asked
+        return stream
+
+    def adopt(self, handle: socket, asked: bool) -> None:
+        """Take over a connection; `asked`: a request has come on it, so that it may stand idle."""
+        self._adopting_asked = asked
+        try:
+            self.reactor.adoptStreamConnection(handle.fileno(), handle.family, self)
+        finally:
+            self._adopting_asked = False
 
     def touch(self, stream: ClientStream) -> None:
         stream.since = self.reactor.seconds()
@@ -248,6 +279,32 @@
                 COUNTS["client.idle" if stream.asked else "client.silent"] += 1
                 stream.close()
 
+    def fade(self) -> None:
+        """Called at even times: half of each connection's `recent` is forgotten."""
+        for stream in self.streams:
+            stream.recent *= 0.5
+
+    def release(self, wanted: float) -> tuple[socket, float] | None:
+        """Give up a connection that stands between requests, the one whose `recent` is nearest to `wanted`
+        and at most twice that.  Returns its socket, still open and the caller's, and its `recent`."""
+        idle = (s for s in self.streams if s.idle and s.asked and not s.machine.closing)
+        fitting = [s for s in idle if s.recent <= 2 * wanted]
+        best = min(fitting, key=lambda s: abs(s.recent - wanted), default=None)
+        if best is None:
+            return None
+        handle = best.transport.getHandle()
+        kept = handle.dup()
+        # Twisted shuts a socket down with its transport, for every process that holds it: it gets another.
+        best.transport.stopReading()
+        best.transport.stopWriting()
+        dummy, other = socketpair()
+        os.dup2(dummy.fileno(), handle.fileno(), inheritable=False)
+        dummy.close()
+        other.close()
+        best.transport.connectionLost(Failure(ConnectionDone()))
+        COUNTS["client.handed_over"] += 1
+        return kept, best.recent
+
     def unfinished(self, half_in: bool) -> bool:
         """Some answer is not yet in the kernel's hands, or, if that counts, some request is half in."""
         return any(not s.flushed or (half_in and s.machine.partial) for s in self.streams)
--- a/mapleline/net/counter.py
+++ b/mapleline/net/counter.py
@@ -140,10 +140,11 @@
 
     def __init__(
         self, reactor: Any, engine: Engine, clock: Callable[[], int], buffers: BufferPool,
-        address: Address, dial_timeout_s: float,
+        address: Address, dial_timeout_s: float, connections: int = CONNECTIONS,
     ) -> None:  # fmt: skip
         self.reactor, self.engine, self.clock, self.buffers = reactor, engine, clock, buffers
         self.dial_timeout_s = dial_timeout_s
+        self.connections = connections
         self.lanes: list[Lane] = []
         self.move(address)
 
@@ -152,7 +153,7 @@
         unwritten = [call for lane in self.lanes for call in lane.retire()]
         self.address = address
         self.host_line = b"Host: %b:%d\r\n" % (address[0].encode(), address[1])
-        self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
+        self.lanes = [Lane(self) for _ in range(self.connections)]
         for call in unwritten:
             self.add(call)
 
@@ -162,7 +163,7 @@
         return factory
 
     def add(self, call: Call) -> None:
-        self.lanes[call.name % CONNECTIONS].add(call)
+        self.lanes[call.name % self.connections].add(call)
 
     def answered(self, call: Call, response: Response) -> bool:
         """Tell what the answer says; False if it says nothing that can be read."""
@@ -181,7 +182,7 @@
 
     def gave_up(self, call: Call) -> None:
         """Its time has run out: if its connection has long been silent, the next calls take a new one."""
-        lane = self.lanes[call.name % CONNECTIONS]
+        lane = self.lanes[call.name % self.connections]
         stream = lane.stream
         calls = stream.machine.calls if stream is not None else ()
         if calls and self.clock() - calls[0].made_ns > DEAD_S * 1e9:
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -117,9 +117,9 @@
 class UpstreamServer:
     """The connections to one process of one agenda server."""
 
-    def __init__(self, pool: UpstreamPool, place: Place) -> None:
+    def __init__(self, pool: UpstreamPool, number: int, place: Place) -> None:
         address = place.address
-        self.pool, self.place = pool, place
+        self.pool, self.number, self.place = pool, number, place
         self.host_line = b"Host: %b:%d\r\n" % (address[0].encode(), address[1])
         self.idle: deque[UpstreamStream] = deque()  # the last used at the right end
         self.retired = False  #: off the list, started anew or moved
@@ -127,6 +127,8 @@
         self.factory.noisy = False
 
     def send(self, attempt: Attempt) -> None:
+        if self.pool.vetoed(self.number):
+            return self._veto(attempt)
         oldest = self.pool.reactor.seconds() - self.pool.idle_s
         while self.idle:
             stream = self.idle.pop()
@@ -153,7 +155,14 @@
         else:
             self._start(stream, attempt)
 
+    def _veto(self, attempt: Attempt) -> None:
+        COUNTS["upstream.vetoed"] += 1  # never sent, so another server may have it
+        self.pool.engine.attempt_ended(attempt, Result.NO_CONNECTION)
+
     def _start(self, stream: UpstreamStream, attempt: Attempt) -> None:
+        if self.pool.vetoed(self.number):  # while the connection came up
+            self.rest(stream)
+            return self._veto(attempt)
         wish, request = attempt.wish, attempt.wish.request
         left = attempt.open.deadline_ns - self.pool.clock()
         lines = b"%b%bX-Timeout-Ms: %d\r\n" % (self.host_line, wish.lines, max(1, left // 1_000_000))
@@ -196,6 +205,7 @@
         self.dial_timeout_s, self.idle_s, self.most = dial_timeout_s, idle_s * IDLE_SHARE, most
         self.servers: dict[int, UpstreamServer] = {}
         self.held = 0  #: connections up or on their way
+        self.vetoed: Callable[[int], object] = lambda server: False  #: nothing new may go to this server
         reactor.callLater(SWEEP_S, self._sweep)
 
     def update(self, places: dict[int, Place]) -> None:
@@ -205,7 +215,7 @@
             if server is None or server.place != place:
                 if server is not None:
                     server.end()
-                self.servers[number] = UpstreamServer(self, place)
+                self.servers[number] = UpstreamServer(self, number, place)
         for number in [n for n in self.servers if n not in places]:
             self.servers.pop(number).end()
 
--- a/mapleline/policy/brain.py
+++ b/mapleline/policy/brain.py
@@ -63,7 +63,9 @@
         self.asking, self.asking_cut, self.mean_stakes = CALLS_FIRST, 0, 1e-9  # share of tries that call
         self.over: dict[int, int] = {}  # customers over their limit, as told, until when
         self.tell_credit = self.rng.random() * start.gateways  # messages; not everybody's at once
-        self.says, self.room, self.out, self.credit = {}, 0.0, 0, 5.0  # attempts allowed, out; retries saved
+        self.says, self.room, self.out = {}, 0.0, 0  # attempts allowed, out
+        self.credit = 5.0 / start.workers  # retries saved
+        self.kin = None  # the ingress's other workers, where it has some: they keep one count of a customer
         refills = [p.ceiling_burst / p.ceiling_rate * 1e9 for p in start.plans if p.ceiling_rate > 0]
         self.keep = NAME_LIFE_NS + max(refills, default=0.0)  # after that nothing of a customer is held
         self.on = {i.Arrival: self.on_arrival, i.Outcome: self.on_outcome, i.Timer: self.on_timer,
@@ -78,6 +80,8 @@
             self.timer(self.aim // 2, TICK, 0)
             self.acts += [i.Watch()] if self.s.list_on_request else []
         self.on[type(event)](event)
+        if self.kin is not None:
+            self.kin.show()
         return self.acts
 
     def timer(self, after: float, kind: int, ref: int) -> None:
@@ -99,13 +103,16 @@
     def roll(self, c: Customer, plan: i.Plan) -> float:
         """Bring the customer's windows up to now; returns the share of the current window that is left."""
         win, into = divmod(self.now, self.window(plan))
+        if self.kin is not None:
+            self.kin.meet(c, win)
         if win != c.win:
-            total, follows = max(0.0, c.known + c.blind / c.share), win == c.win + 1
-            if follows and total > 0 and c.own > 0:  # own part, for when the counter is gone
-                c.share += 0.5 * (min(1.0, max(c.own / total, 0.5 / c.spread)) - c.share)
+            total, follows, own = max(0.0, c.known + c.unseen / c.share), win == c.win + 1, c.own + c.kin_own
+            if follows and total > 0 and own > 0:  # own part, for when the counter is gone
+                c.share += 0.5 * (min(1.0, max(own / total, 0.5 / c.spread)) - c.share)
             # Never above the limit: what lies beyond was refused, if not taken off again.
             c.prev = min(self.limit(plan), total) if follows else 0.0
             c.win, c.known, c.blind, c.owed, c.own = win, 0.0, 0.0, 0.0, 0.0
+            c.kin_blind, c.kin_own, c.known_at = 0.0, 0.0, 0
         gained = plan.rate * (self.now - c.saved_at) / 1e9 if c.saved_at else self.limit(plan)
         c.saved, c.saved_at = min(self.limit(plan), c.saved + gained), self.now
         return 1.0 - into / self.window(plan)
@@ -124,7 +131,7 @@
             return self.decide(r, None)
         # A try that asks stands for those let in that did not.  A refused try's units block the customer
         # elsewhere: where the last totals already speak against it, the call only reads.
-        if c.prev * left + c.known + c.blind / c.share <= self.limit(r.plan) or self.saved_up(r):
+        if c.prev * left + c.known + c.unseen / c.share <= self.limit(r.plan) or self.saved_up(r):
             r.charged = r.ev.units / (min(1.0, share) if self.thin(r) and self.gain(r) > 0 else 1.0)
         c.owed += r.charged
         self.call(r)
@@ -172,8 +179,8 @@
         if c.win == win and answered:
             self.roll(c, r.plan)
             c.saved += c.known + c.blind / c.share - max(0.0, ev.total + c.owed)
-            c.known, c.blind = max(0.0, ev.total + c.owed), 0.0
-            r.before = c.known - r.charged
+            c.known, c.blind, c.known_at = max(0.0, ev.total + c.owed), 0.0, self.now
+            r.before = c.known + c.kin_blind - r.charged
         elif c.win == win and ev.result in i.NEVER_RAN:
             c.owed += amount  # proven not added; after a time-out it may have been
         if not r.decided:
@@ -193,7 +200,7 @@
         elif self.thin(r):  # guesses get the part of the room that they are worth: asked ones go first
             inside = inside and self.out < int(self.gain(r) * self.room + self.rng.random())
         else:  # no answer: last total plus own later admissions, scaled by this gateway's part
-            inside = estimate + (c.blind + BLIND * u) / c.share <= limit
+            inside = estimate + (c.unseen + BLIND * u) / c.share <= limit
         if inside and self.open_room(r) or self.extra(r):
             c.own += u
             c.blind += u if before is None else 0.0
@@ -229,7 +236,7 @@
 
     def open_room(self, r: Request) -> bool:
         """Attempts out at once: this gateway's part of the cap, at least one."""
-        return not r.plan.open or r.who.out < max(1, round(r.plan.open * r.who.share + 0.25))
+        return not r.plan.open or r.who.out + r.who.kin_out < max(1, round(r.plan.open * r.who.share + 0.25))
 
     def extra(self, r: Request) -> bool:
         """Beyond the quota only where it earns more than it costs and less than half the room is used."""
@@ -238,7 +245,10 @@
     def ceiling(self, r: Request) -> bool:
         """Own part of the hard ceiling, safe whatever others do; spent at start, by the one before it."""
         p, c = r.plan, r.who
-        full, rate = (p.ceiling_burst + 0.9 * p.ceiling_slack) / c.spread, p.ceiling_rate / c.spread / 1e9
+        if p.rate > 0 and p.burst > 0:
+            self.roll(c, p)  # the store as any worker left it; without a quota each has its part
+        part = 1 / (c.spread * (self.s.workers if p.rate <= 0 or p.burst <= 0 else 1))
+        full, rate = (p.ceiling_burst + 0.9 * p.ceiling_slack) * part, p.ceiling_rate * part / 1e9
         c.store = min(full, c.store + rate * (self.now - (c.store_at or self.born)))
         c.store_at = self.now
         fits = c.store >= r.ev.units or p.ceiling_rate <= 0
@@ -248,7 +258,8 @@
     def on_arrival(self, ev: i.Arrival) -> None:
         s, cls = self.s, self.s.classes[ev.cls]
         plan = s.plans[ev.plan] if ev.plan < len(s.plans) else i.Plan()
-        c = self.customers.setdefault(ev.customer, Customer(ev.plan, max(1, min(ev.spread, s.gateways))))
+        c = Customer(ev.plan, max(1, min(ev.spread, s.gateways)), key=ev.customer)
+        c = self.customers.setdefault(ev.customer, c)
         c.seen_at = self.now
         r = self.requests[ev.request] = Request(ev, cls, plan, c)
         spent = 0  # a marked later try with another patience than first ones has what is left of the deadline
@@ -312,6 +323,8 @@
     def count_out(self, r: Request, n: int) -> None:
         self.out += n
         r.who.out += n
+        if self.kin is not None:
+            self.kin.touch(r.who)
 
     def forget(self, r: Request) -> None:
         """The request is over: take a refused try's units off again, stop what is still out, drop it."""
@@ -374,7 +387,7 @@
         sent = sv.out.pop((ev.request, ev.attempt), None)
         if ev.result == OK:
             sv.answered, sv.fails, sv.bad = self.now, 0, sv.bad * (1 - PRAISE)
-            self.credit = min(10.0, self.credit + RETRY_SHARE)
+            self.credit = min(10.0 / self.s.workers, self.credit + RETRY_SHARE)
             if r is not None and sent is not None:
                 usual = self.usual[r.ev.cls]
                 sv.slow += SLOW_GAIN * (ev.took_ns / usual - sv.slow)
--- a/mapleline/policy/interface.py
+++ b/mapleline/policy/interface.py
@@ -104,6 +104,7 @@
 
     gateway: int = 0
     gateways: int = 1
+    workers: int = 1  #: processes of this gateway, which share its part of a customer's quota
     seed: int = 0
     zone: int = 0
     zones: int = 1
--- a/mapleline/policy/state.py
+++ b/mapleline/policy/state.py
@@ -37,6 +37,16 @@
     store_at: int = 0
     out: int = 0  #: own attempts out
     seen_at: int = 0
+    key: int = 0
+    known_at: int = 0  #: when the counter gave that total; 0 in a window without one
+    kin_blind: float = 0.0  #: blind, own and out of the ingress's other workers, where it has some
+    kin_own: float = 0.0
+    kin_out: int = 0
+
+    @property
+    def unseen(self) -> float:
+        """Units that this ingress let in and the last total does not hold."""
+        return self.blind + self.kin_blind
 
     def __post_init__(self) -> None:
         self.share = 1.0 / self.spread
--- a/mapleline/settings/own.py
+++ b/mapleline/settings/own.py
@@ -22,7 +22,7 @@
     restart_pause_most_ms: int = schema.whole(5_000, "the longest such pause", 1, 600_000)
     settled_ms: int = schema.whole(2_000, "a worker that served this long has not died at once", 1, 600_000)
     deaths_most: int = schema.whole(5, "deaths at once in a row that end the program", 1, 1_000)
-    accounts: int = schema.whole(16_384, "customers whose use a worker shows to the others (80 bytes each)",
+    accounts: int = schema.whole(16_384, "customers whose use a worker shows to the others (112 bytes each)",
                                  1_024, 1_048_576)  # fmt: skip
 
 
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -174,7 +174,7 @@
     """The process, its address, and its log line by line."""
 
     def __init__(self, process, file):
-        self.process, self.file, self.lines = process, file, queue.Queue()
+        self.process, self.file, self.lines, self.past = process, file, queue.Queue(), []
         threading.Thread(target=self._read, daemon=True).start()
         host, port = self.event("serving")["listen"].split(":")
         self.address = (host, int(port))
@@ -184,9 +184,11 @@
             self.lines.put(json.loads(line))
 
     def event(self, name):
-        while (found := self.lines.get(timeout=WAIT_S))["event"] != name:
-            pass
-        return found
+        while True:
+            found = self.lines.get(timeout=WAIT_S)
+            self.past.append(found)
+            if found["event"] == name:
+                return found
 
     def client(self):
         return Client(self.address)
@@ -212,13 +214,12 @@
         return self.event("counters")["counts"]
 
 
-def start(config, tmp_path, *flags):
+def start(config, tmp_path, *flags, command=()):
     file = tmp_path / "config.json"
     file.write_text(config if isinstance(config, str) else json.dumps(config))
     environment = {**os.environ, "EDGE_CONFIG": str(file)}
-    return subprocess.Popen(
-        [sys.executable, *flags, "-m", "mapleline"], cwd=ROOT, env=environment, stderr=subprocess.PIPE
-    )
+    line = [sys.executable, *flags, "-m", "mapleline", *command]
+    return subprocess.Popen(line, cwd=ROOT, env=environment, stderr=subprocess.PIPE)
 
 
 def config_for(counter, discovery, servers, settings=None, **changes):
@@ -229,10 +230,10 @@
 
 
 @contextmanager
-def running(tmp_path, *servers, counter=None, discovery=None, **changes):
+def running(tmp_path, *servers, counter=None, discovery=None, command=(), **changes):
     """An ingress in a debug build before these servers; ends it, and fails if anything raised in it."""
     config = config_for(counter or Counter(), discovery or Discovery(), servers, **changes)
-    process = start(config, tmp_path)
+    process = start(config, tmp_path, command=command)
     try:
         ingress = Ingress(process, tmp_path / "config.json")
         yield ingress
