Test that a dead worker's ids are free for all, and that a new one asks the moved counter

Both tests passed with the code taken out: the ids happened to be claimed by the worker that replaced the dead one, and the counter was asked by the other worker. They fail without it now.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 import signal
 import subprocess
 import threading
@@ -159,12 +160,13 @@
         assert died["worker"] == 0 and died["requests_lost"] == 2
         held.answer = lambda *_: message(body=b"slots")
         ingress.event("worker ready")
-        others = [ingress.client() for _ in range(4)]
-        # What it held is given back: its ids are free, those of the living are not.
-        ends = [client.ask(X_Request_ID=f"open{n}")[0] for n, client in enumerate(others)]
-        assert sorted(ends) == [200, 200, 409, 409]
-        open_ones = [client for n, client in enumerate(clients) if ends[n] == 409]
-        assert all(client.answer() is not None for client in open_ones)  # final answers, none lost
+        dead = [n for n, c in enumerate(clients) if select.select([c.sock], [], [], 0)[0]]
+        assert len(dead) == 2 and all(clients[n].answer() is None for n in dead)
+        # What it held is given back: its ids are free for every worker, those of the living are not.
+        for other in [ingress.client() for _ in range(4)]:
+            ends = [other.ask(X_Request_ID=f"open{n}")[0] for n in range(4)]
+            assert ends == [200 if n in dead else 409 for n in range(4)]
+        assert all(clients[n].answer() is not None for n in range(4) if n not in dead)  # none lost
         counts = ingress.counts()
     assert counts["cores.requests_lost"] == 2 and counts["cores.died"] == 1
     assert counts["request.accepted"] >= 4  # of the dead one too, as it last reported
@@ -237,8 +239,13 @@
         ingress.event("worker ready")
         held.answer = lambda *_: message()
         clients = [ingress.client() for _ in range(2)]
-        until(lambda: all(c.ask() for c in clients) and spread(ingress)[1]["0"] and counters[1].seen.qsize())
-        assert counters[0].seen.qsize() == 0  # nothing was asked before the reload
+
+        def new_one_asks():
+            assert all(client.ask() for client in clients)
+            return spread(ingress)[0]["workers"]["0"].get("counter.called", 0) >= 3
+
+        until(new_one_asks)
+        assert counters[1].seen.qsize() and counters[0].seen.qsize() == 0  # none was asked before the reload
         held.answer = lambda *_: None
         while not held.seen.empty():
             held.next()
