--- a/mapleline/cli/commands.py
+++ b/mapleline/cli/commands.py
@@ -157,8 +157,9 @@
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
 @click.option("--json", "to", type=FILE, help="Where the results go.")
 @click.option("--parquet", type=FILE, help="The same as a Parquet file.")
+@click.option("--plot", type=FILE, help="Latency over the offered rate, as a PNG.")
 def lab_cores(workers: str, seconds: float, connections: int, seed: int, to: Path | None,
-              parquet: Path | None) -> int:  # fmt: skip
+              parquet: Path | None, plot: Path | None) -> int:  # fmt: skip
     """Find the highest rate that each number of workers holds at p99 under 50 ms, and run at 70% of it.
 
     The ingress has the lower half of the cores, the load side the upper half.
@@ -178,12 +179,13 @@
         figures = "  ".join(f"{name}={run[name]:.4g}" for name in columns)
         click.echo(figures if run["held"] else figures + "  not held")
 
-    runs = []
+    runs, every = [], []
     for number in numbers:
         found = cores.highest(number, seconds, connections, seed, tell)
         rested = cores.trial(number, 0.7 * found[-1]["offered_rps"], seconds, connections, seed + 1)
         tell(rested)
         runs += [dict(found[-1], kind="highest"), dict(rested, kind="70%")]
+        every += [*found, rested]
     if to is not None:
         to.write_bytes(orjson.dumps({"runs": runs}, option=orjson.OPT_INDENT_2))
     if parquet is not None:
@@ -192,4 +194,8 @@
 
         rows = [{key: value for key, value in run.items() if key != "ends"} for run in runs]
         pyarrow.parquet.write_table(pyarrow.Table.from_pylist(rows), parquet)
+    if plot is not None:
+        from ..lab.plots import latency_by_rate
+
+        latency_by_rate(every, cores.HELD_MS, plot)
     return 0
--- a/mapleline/cores/supervisor.py
+++ b/mapleline/cores/supervisor.py
@@ -36,7 +36,6 @@
 ACCEPTED_MOST = 64  # in one turn
 WAITING_MOST = 128  # accepted and taken by nobody: more are left to the kernel
 COUNTS_WAIT_S = 0.5  # for the workers' counters; who is stalled is named
-GOING_S = 0.5  # from the listener's end until workers are told to finish: what was accepted is handed out
 KILL_S = 60.0  # for a worker to finish what it has, after that
 
 
@@ -380,7 +379,7 @@
         self.reactor.callLater(STAY_S, self._close)
 
     def _close(self) -> None:
-        self.doRead()  # what the kernel accepted is still served
+        self.doRead()  # what the kernel accepted is still served: workers stay a little longer
         self.going = True
         self._read(False)
         self.listener.close()
--- a/mapleline/cores/worker.py
+++ b/mapleline/cores/worker.py
@@ -16,7 +16,7 @@
 
 from twisted.internet.protocol import Factory
 
-from ..ingress import Ingress, calm_gc, watch_twisted
+from ..ingress import STAY_S, Ingress, calm_gc, watch_twisted
 from ..net.discovery import Directory, Watcher
 from ..net.reactor import install
 from ..net.upstream import Place
@@ -32,6 +32,7 @@
 REPORT_S = 0.1
 COUNTS_EVERY = 10  # reports: the counters, so that a death loses little of them
 COUNTER_CONNECTIONS = 16  # of the whole ingress: half of the 32 that the counter holds for it
+LONGER_S = 0.15  # than the listener: what it accepted last is offered, claimed and granted by then
 SPARE = 40  # descriptors of the supervisor: streams, its listener, discovery
 SPARE_EACH = 4  # and for each worker: its channel, a connection or two on the way
 LEAST_SOCKETS = 128  # of one worker
@@ -112,7 +113,7 @@
         elif "counts" in message:
             self.channel.tell({"counts": dict(COUNTS), "asked": message["counts"]})
         elif "leave" in message:
-            self.leave()
+            self.leave(STAY_S + LONGER_S)
 
     def _offered(self, number: int, handle: socket.socket, asked: bool) -> None:
         if len(self.front.streams) >= self.front.most and not any(s.idle for s in self.front.streams):
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -141,14 +141,14 @@
         log("reloaded", counter=":".join(map(str, new.counter)), discovery=":".join(map(str, new.discovery)),
             until_restart=kept)  # fmt: skip
 
-    def leave(self) -> None:
+    def leave(self, stay_s: float = STAY_S) -> None:
         """Go on serving for a while, then take nothing new, finish what is open, and stop."""
         if self.leaving:
             return
         self.leaving = True
         log("told to leave", open=len(self.engine.requests))
         self.front.ready = False
-        self.reactor.callLater(STAY_S, self._finish)
+        self.reactor.callLater(stay_s, self._finish)
 
     def _finish(self) -> None:
         self.front.leave()
