Print each worker's own counters at the end; measure how evenly connections lie

A worker that left in order had its last counters moved to those of the dead, so that the final line had the sum but an empty set for each worker.

--- a/mapleline/cores/supervisor.py
+++ b/mapleline/cores/supervisor.py
@@ -297,13 +297,13 @@
         clean = reason.check(error.ProcessDone) is not None
         place.ready = False
         self.bulletin.parted(number)
-        self.dead.update(place.counts)
-        place.counts = {}
         lost = IdBoard.clear(self.board, number)
         out = AccountBoard.clear_out(self.board, self.workers, number, self.own.cores.accounts)
         if clean and self.leaving:
             self.dispatcher.parted(number, now)
             return self._stop_if_done()
+        self.dead.update(place.counts)
+        place.counts = {}
         COUNTS["cores.died"] += 1
         COUNTS["cores.requests_lost"] += lost
         log("worker died", worker=number, why=str(reason.value), requests_lost=lost, attempts_out=out)
--- a/mapleline/lab/cores.py
+++ b/mapleline/lab/cores.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import orjson
 from hdrh.histogram import HdrHistogram
@@ -75,8 +75,10 @@
 
 
 @contextmanager
-def ingress(workers: int, cores: set[int], config: dict[str, Any]) -> Iterator[tuple[list[Any], list[int]]]:
-    """The program in its release build: its address and its processes."""
+def ingress(
+    workers: int, cores: set[int], config: dict[str, Any], log: IO[bytes] | None = None
+) -> Iterator[tuple[list[Any], list[int]]]:
+    """The program in its release build: its address and its processes; `log` gets its log from then on."""
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "config.json"
         file.write_bytes(orjson.dumps(config))
@@ -92,7 +94,9 @@
         finally:
             process.terminate()
             try:
-                process.communicate(timeout=WAIT_S)
+                said, _ = process.communicate(timeout=WAIT_S)[::-1]
+                if log is not None:
+                    log.write(said)
             except subprocess.TimeoutExpired:
                 process.kill()
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -77,7 +77,12 @@
         clients = [ingress.client() for _ in range(connections)]
         assert {client.ask()[0] for client in clients} == {200}
         counts, taken = spread(ingress)
+        ingress.process.send_signal(signal.SIGTERM)
+        last = ingress.event("counters")
+        assert ingress.process.wait(WAIT_S) == 0
     assert taken == {str(n): connections // number for n in range(number)}
+    assert {n: c["client.connected"] for n, c in last["workers"].items()} == taken  # the last word too
+    assert last["counts"]["request.served"] == connections
     assert counts["counts"]["request.served"] == connections and counts["silent"] == []
     assert counts["counts"]["cores.accepted"] == connections
 
