Spread the fleet's calls to discovery: jittered pauses that double with each failure

At fault: RETRY_S = 0.05 in net/discovery.py, a pause that neither grew nor varied, and a first call that all made in the same moment. Calls that wait longer than 2 s come back as 503 and are worked through all the same, so a fleet that keeps asking is never answered.

Now each pause is drawn evenly below a bound that doubles with each failure, from 50 ms to 0.5 s an ingress of the fleet (2 to 20 s for 40, never above twice ask_within), and the first call of a start is spread likewise.

--- a/mapleline/cores/supervisor.py
+++ b/mapleline/cores/supervisor.py
@@ -18,7 +18,7 @@
 from ..http1.buffers import BufferPool
 from ..ingress import BACKLOG, STAY_S, wait_for_reload, watch_twisted
 from ..net.alarm import clock_start
-from ..net.discovery import Directory, Watcher
+from ..net.discovery import Directory, Watcher, backoff
 from ..policy import interface as i
 from ..settings import platform
 from ..settings.own import Own
@@ -97,7 +97,8 @@
         self.reading = False
 
     def _watcher(self, address: platform.Address, whole: bool = False) -> Watcher:
-        return Watcher(self.reactor, address, BufferPool(), self.directory, self.told, whole)
+        pauses = backoff(self.config.start)
+        return Watcher(self.reactor, address, BufferPool(), self.directory, self.told, pauses, whole)
 
     # --- start
 
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -15,7 +15,7 @@
 from .net.alarm import ReactorAlarm, unix_clock
 from .net.clients import Front
 from .net.counter import CONNECTIONS, CounterDriver
-from .net.discovery import Directory, Watcher
+from .net.discovery import Directory, Watcher, backoff
 from .net.upstream import UpstreamPool
 from .policy import interface as i
 from .policy.brain import Brain
@@ -67,7 +67,8 @@
         self.watcher = self._watcher(config.discovery)
 
     def _watcher(self, address: Address, whole: bool = False) -> Watcher:
-        return Watcher(self.reactor, address, self.buffers, self.directory, self.told, whole)
+        pauses = backoff(self.config.start)
+        return Watcher(self.reactor, address, self.buffers, self.directory, self.told, pauses, whole)
 
     def told(self, news: i.ServerNews) -> None:
         """Addresses first: the module may send as soon as it knows."""
--- a/mapleline/net/discovery.py
+++ b/mapleline/net/discovery.py
@@ -19,13 +19,14 @@
 from ..policy import interface as i
 from ..settings.platform import Address, read_address
 from ..telemetry import COUNTS, log
+from .backoff import Backoff
 from .streams import Stream
 from .upstream import Place
 
 WAIT_MS = 20_000
 SPARE_S = 1.5  # for the answer of a watch whose time is over
 WHOLE_S = 1.0  # for the whole list, which the agent gives without waiting
-RETRY_S = 0.05  # the next call must arrive within 200 ms of the last answer
+ASK_SHARE = 2.0  # of the time without a call after which the list counts as told; four times it after one
 LIVES = {"in_service": i.Life.READY, "terminating": i.Life.DRAINING, "terminated": i.Life.GONE}
 
 
@@ -106,6 +107,14 @@
             self.machine.calls.popleft().errback(reason)
 
 
+def backoff(start: i.Start) -> Backoff:
+    """The pauses of one watcher.  Asked calls are work for the fleet's one discovery; where changes are
+    pushed, the agent on this machine answers alone, and each moment without a watch is one without news."""
+    most_s = ASK_SHARE * start.list_ask_within_ns / 1e9
+    fleet = start.gateways if start.list_on_request else 1
+    return Backoff(start.seed, fleet, most_s or float("inf"))
+
+
 class Watcher:
     """Asks one address for what is newer than the list in hand, again and again.
 
@@ -115,10 +124,10 @@
 
     def __init__(
         self, reactor: Any, address: Address, buffers: BufferPool, directory: Directory,
-        told: Callable[[i.ServerNews], None], whole: bool = False,
+        told: Callable[[i.ServerNews], None], pauses: Backoff, whole: bool = False,
     ) -> None:  # fmt: skip
         self.reactor, self.address, self.directory, self.told = reactor, address, directory, told
-        self.whole = whole
+        self.pauses, self.whole = pauses, whole
         self.host_line = b"Host: %b:%d\r\n" % (address[0].encode(), address[1])
         self.factory = Factory.forProtocol(lambda: AgentStream(buffers))
         self.factory.noisy = False
@@ -132,10 +141,13 @@
     @inlineCallbacks
     def _run(self):  # type: ignore[no-untyped-def]
         """Until stopped.  Nothing that comes back may end it: without it the ingress goes blind."""
+        if not self.whole and self.pauses.shared:  # a start may be the whole fleet's; a move is one ingress's
+            yield deferLater(self.reactor, self.pauses.pause())
         while self.running:
             try:
                 response = yield self._ask()
                 news = self._read(response)
+                self.pauses.succeeded()
                 if self.failing:
                     self.failing = False
                     log("discovery back", rev=self.directory.rev)
@@ -149,7 +161,7 @@
                     self.failing = True
                     log("discovery failing", why=f"{type(err).__name__}: {err}")
                 self.drop()
-                yield deferLater(self.reactor, RETRY_S)
+                yield deferLater(self.reactor, self.pauses.pause())
 
     def _read(self, response: Response) -> i.ServerNews | None:
         if response.status != 200:
