Report no fault when a watcher is stopped in one of its pauses

Seen on reading the change again, with a watcher on a virtual clock: `stop` cancels the loop, and a cancelled pause left its CancelledError to nobody, which is logged as an error with a trace and counted as twisted.caught. Watcher.start now takes the CancelledError; any other error is still reported. The test fails for the first pause and for one behind a failure with the line taken out.

--- a/mapleline/net/discovery.py
+++ b/mapleline/net/discovery.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import orjson
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
@@ -137,6 +137,7 @@
 
     def start(self) -> None:
         self._loop = self._run()
+        self._loop.addErrback(lambda failure: failure.trap(CancelledError))  # `stop` within a pause: no fault
 
     @inlineCallbacks
     def _run(self):  # type: ignore[no-untyped-def]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from mapleline.http1.buffers import BufferPool
 from mapleline.http1.messages import Response
@@ -43,14 +44,11 @@
 
 
 def fleet(clock, discovery, size, pauses=None):
-    watchers = []
     for n in range(size):
         pause = pauses or backoff(i.Start(seed=n, gateways=size, list_on_request=True))
         watcher = Watcher(clock, ("10.0.0.1", 1), BufferPool(), Directory([], []), lambda news: None, pause)
         watcher._ask = discovery.ask
         watcher.start()
-        watchers.append(watcher)
-    return watchers
 
 
 @pytest.mark.parametrize("size, rate", [(40, 8), (40, 6), (3, 4), (200, 40)])
@@ -75,6 +73,23 @@
     assert max(pushed.pause() for _ in range(100)) <= 0.5
 
 
+@pytest.mark.parametrize("failures", [0, 1])
+def test_a_watcher_stopped_in_a_pause_reports_no_fault(failures):
+    """Its cancelled pause was logged as an error that nobody handled: at a stop within the first 2 s."""
+    clock = Clock()
+    discovery = Discovery(clock, 0.01)
+    pauses = Backoff(1, 40)
+    watcher = Watcher(clock, ("10.0.0.1", 1), BufferPool(), Directory([], []), lambda news: None, pauses)
+    watcher._ask = discovery.ask
+    watcher.start()
+    while discovery.calls < failures or any(patience.active() for _, patience in discovery.queue):
+        clock.advance(0.01)
+    watcher.stop()
+    clock.advance(60)
+    assert discovery.calls == failures
+    assert not isinstance(watcher._loop.result, Failure)
+
+
 class Fixed:
     """The pause that there was: the same for all, and after any number of failures."""
 
