--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -214,11 +214,11 @@
         return self.event("counters")["counts"]
 
 
-def start(config, tmp_path, *flags, command=()):
+def start(config, tmp_path, *flags, command=(), line=None):
     file = tmp_path / "config.json"
     file.write_text(config if isinstance(config, str) else json.dumps(config))
     environment = {**os.environ, "EDGE_CONFIG": str(file)}
-    line = [sys.executable, *flags, "-m", "mapleline", *command]
+    line = line or [sys.executable, *flags, "-m", "mapleline", *command]
     return subprocess.Popen(line, cwd=ROOT, env=environment, stderr=subprocess.PIPE)
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,15 +1,13 @@
 """What the platform asks of `run` in deploy/balancer.toml: one process, and nothing that it refuses."""
 
-import json
 import os
-import subprocess
 import sys
 import tomllib
 from pathlib import Path
 
-from ingress import ROOT, Counter, Discovery, Ingress, Peer, config_for, message
+from ingress import ROOT, Counter, Discovery, Ingress, Peer, config_for, message, start
 
-RUN = tomllib.loads((Path(ROOT) / "deploy" / "balancer.toml").read_text())["run"]
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
 
 
 def unix_sockets(pid):
@@ -26,14 +24,12 @@
 
 
 def test_run_is_one_process_that_starts_no_other_and_holds_no_unix_socket(tmp_path):
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(config_for(Counter(), Discovery(), [Peer(lambda *_: message(body=b"slots"))])))
+    config = config_for(Counter(), Discovery(), [Peer(lambda *_: message(body=b"slots"))])
     line = RUN.replace(".venv/bin/python", sys.executable)
     assert line != RUN and line.startswith("exec ")
-    environment = {**os.environ, "EDGE_CONFIG": str(file)}
-    process = subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=environment, stderr=subprocess.PIPE)
+    process = start(config, tmp_path, line=["/bin/sh", "-c", line])
     try:
-        ingress = Ingress(process, file)
+        ingress = Ingress(process, tmp_path / "config.json")
         assert ingress.client().ask()[0] == 200
         tasks = Path(f"/proc/{process.pid}/task")
         assert os.readlink(f"/proc/{process.pid}/exe") == os.path.realpath(sys.executable)
