Open a door for operators, and send clients away on their order

There was no address to drain it by, and readiness was a flag of Front's, set from three places.

lifecycle.py decides readiness and which connections may stay, net/management.py asks and orders it; Front.ready, Front.leaving and Ingress.leaving are gone. Tests: phases as properties, calls and a drain against the process.

--- a/mapleline/cores/supervisor.py
+++ b/mapleline/cores/supervisor.py
@@ -71,6 +71,8 @@
     def __init__(self, reactor: Any, config: Config, raw: object, own: Own, workers: int) -> None:
         self.reactor, self.config, self.raw, self.own, self.workers = reactor, config, raw, own, workers
         cores = own.cores
+        if config.management:
+            raise ConfigError("management: not with several workers, whose supervisor has no such door")
         if sockets_each(config.sockets, workers) < LEAST_SOCKETS:
             least = (LEAST_SOCKETS + SPARE_EACH) * workers + SPARE
             raise ConfigError(f"limits.sockets: expected at least {least} for {workers} workers")
--- a/mapleline/cores/worker.py
+++ b/mapleline/cores/worker.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import Factory
 
 from ..ingress import STAY_S, Ingress, calm_gc, watch_twisted
+from ..lifecycle import Phase
 from ..net.discovery import Directory, Watcher
 from ..net.reactor import install
 from ..net.upstream import Place
@@ -146,7 +147,7 @@
         self.channel.tell({"acked": message["news"]})
 
     def _hand_over(self, wanted: float) -> None:
-        if not self.leaving:
+        if self.life.phase is not Phase.LEAVING:
             self.front.hand_over(wanted, self._handed)
 
     def _handed(self, handle: socket.socket, load: float) -> None:
@@ -188,9 +189,7 @@
         """The supervisor is gone: nothing new will come, and what is open is finished."""
         if self.done:
             self.reactor.stop()
-        elif not self.leaving:
-            self.leaving = True
-            self.front.ready = False
+        elif self.life.leave(self.reactor.seconds()):
             log("supervisor gone", open=len(self.engine.requests))
             self._finish()
 
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -12,10 +12,13 @@
 from .engine import Engine
 from .http1.buffers import BufferPool
 from .http1.server import Translator
+from .lifecycle import Lifecycle
 from .net.alarm import ReactorAlarm, unix_clock
 from .net.clients import Front
 from .net.counter import CONNECTIONS, CounterDriver
 from .net.discovery import Directory, Watcher, backoff
+from .net.management import DESCRIPTORS as DOOR_DESCRIPTORS
+from .net.management import Door
 from .net.upstream import UpstreamPool
 from .policy import interface as i
 from .policy.brain import Brain
@@ -30,7 +33,10 @@
 SPARE_DESCRIPTORS = 40  # standard streams, epoll, the listener, discovery, those on their way out
 CLIENTS_SHARE = 0.55  # of the descriptors: clients keep more than they use, attempts need one each
 #: What a reload leaves as it is, by key of the file.
-KEPT = {"name": "name", "listen": "listen", "limits.sockets": "sockets", "settings": "start"}
+KEPT = {
+    "name": "name", "listen": "listen", "management": "management", "limits.sockets": "sockets",
+    "settings": "start",
+}  # fmt: skip
 GC_THRESHOLD = 20_000  # objects; a request leaves no cycles, so a pause seldom finds anything
 
 
@@ -44,10 +50,12 @@
         self.reactor, self.config = reactor, config
         start = config.start
         clock = unix_clock(clock_start)
+        self.life = Lifecycle()
         buffers = self.buffers = BufferPool()
         self.engine = Engine(brain or Brain(start), clock)
         self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
-        room = config.sockets - SPARE_DESCRIPTORS - 2 * lanes
+        for_door = DOOR_DESCRIPTORS if config.management else 0
+        room = config.sockets - SPARE_DESCRIPTORS - for_door - 2 * lanes
         for_clients = int(room * CLIENTS_SHARE)
         self.upstreams = UpstreamPool(
             reactor, self.engine, clock, buffers, config.dial_timeout_s, config.conn_idle_s,
@@ -60,10 +68,10 @@
         translator = Translator(start, config.class_names, config.plan_names)
         self.front = Front(
             reactor, self.engine, translator, buffers, for_clients, config.open_cap,
-            start.max_retry_after_ns,
+            start.max_retry_after_ns, self.life,
         )  # fmt: skip
+        self.door = Door(reactor, self.life, buffers, self._held)
         self.directory = Directory(config.zone_names, config.kind_names)
-        self.leaving = False
         self.watcher = self._watcher(config.discovery)
 
     def _watcher(self, address: Address, whole: bool = False) -> Watcher:
@@ -79,15 +87,14 @@
                 self.upstreams.close_idle(line.server)
         self.engine.news(news)
         # An empty list from before the start is no reason to send clients here.
-        self.front.ready = not self.leaving and (bool(news.servers) or news.news != i.News.CACHED)
+        if news.servers or news.news != i.News.CACHED:
+            self.life.listed()
 
     def run(self) -> None:
-        host, port = self.config.listen
         known = self._read_known(self.directory, self.config)
-        try:
-            self.front.port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
-        except Exception as err:
-            raise ConfigError(f"listen: {err}") from None
+        self.front.port = self._listen("listen", self.config.listen, self.front)
+        if self.config.management:
+            self.door.port = self._listen("management", self.config.management, self.door)
         self.told(known)
         self.watcher.start()
         self.reactor.callWhenRunning(self._serving)
@@ -95,6 +102,17 @@
         self.reactor.run()
         print_counters("exit")
 
+    def _listen(self, key: str, address: Address, factory: Any) -> Any:
+        host, port = address
+        try:
+            return self.reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host)
+        except Exception as err:
+            raise ConfigError(f"{key}: {err}") from None
+
+    def _held(self) -> dict[str, int]:
+        """What an operator watches during a drain: it falls to nothing."""
+        return {"connections": len(self.front.streams), "open_requests": len(self.engine.requests)}
+
     @staticmethod
     def _read_known(directory: Directory, config: Config) -> i.ServerNews:
         try:
@@ -113,9 +131,10 @@
         for number, handler in handlers.items():
             signal.signal(number, lambda *_, handler=handler: self.reactor.callFromThread(handler))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one since the start counts now
-        bound = self.front.port.getHost()
-        listen = f"{bound.host}:{bound.port}"
-        log("serving", name=self.config.name, listen=listen, servers=len(self.directory.places))
+        ports = {"listen": self.front.port, "management": self.door.port}
+        bound = {key: port.getHost() for key, port in ports.items() if port is not None}
+        addresses = {key: f"{at.host}:{at.port}" for key, at in bound.items()}
+        log("serving", name=self.config.name, servers=len(self.directory.places), **addresses)
 
     def reload(self) -> None:
         """Read the configuration anew: the counter and discovery move, all else stays until the next start.
@@ -144,11 +163,9 @@
 
     def leave(self, stay_s: float = STAY_S) -> None:
         """Go on serving for a while, then take nothing new, finish what is open, and stop."""
-        if self.leaving:
+        if not self.life.leave(self.reactor.seconds()):
             return
-        self.leaving = True
         log("told to leave", open=len(self.engine.requests))
-        self.front.ready = False
         self.reactor.callLater(stay_s, self._finish)
 
     def _finish(self) -> None:
--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -17,6 +17,7 @@
 from ..http1.buffers import BufferPool
 from ..http1.messages import Malformed, Request, Response, write_response
 from ..http1.server import READY_PATH, ServerConnection, Translator
+from ..lifecycle import Lifecycle
 from ..telemetry import COUNTS, log
 from .streams import Stream
 
@@ -89,7 +90,7 @@
 
     def _take(self, request: Request) -> None:
         if request.target == READY_PATH and request.method == b"GET":
-            return self.answer(200 if self.front.ready else 503)
+            return self.answer(200 if self.front.life.ready else 503)
         wish = self.front.translator.read(request)
         if len(self.front.engine.requests) >= self.front.open_cap:
             COUNTS["client.over_open_cap"] += 1
@@ -108,7 +109,7 @@
         self._forget_id()
         if not self.connected:
             return
-        if self.front.leaving:
+        if self.front.life.last:
             self.machine.closing = True
         self.send(self.machine.answer(status, body, lines))
         self.front.touch(self)
@@ -197,12 +198,11 @@
 
     def __init__(
         self, reactor: Any, engine: Engine, translator: Translator, pool: BufferPool, most: int,
-        open_cap: int, retry_ns: int,
+        open_cap: int, retry_ns: int, life: Lifecycle,
     ) -> None:  # fmt: skip
         self.reactor, self.engine, self.translator, self.pool = reactor, engine, translator, pool
+        self.life = life
         self.most, self.open_cap, self.retry_ns = most, open_cap, retry_ns
-        self.ready = False
-        self.leaving = False  #: every answer is the last on its connection
         self.streams: OrderedDict[ClientStream, None] = OrderedDict()  # in the order of `since`
         self.ids = OpenIds()  #: of the requests in hand
         self.port: Any = None
@@ -264,6 +264,8 @@
         self.reactor.callLater(SWEEP_S, self._sweep)
         now = self.reactor.seconds()
         first_s = FIRST_S if self._accepting else CROWDED_S
+        if self.life.sheds(now):
+            self.shed()
         waiting = list(takewhile(lambda s: now - s.since >= CROWDED_S, self.streams))
         for stream in waiting:
             waited = now - stream.since
@@ -331,12 +333,17 @@
         """Some answer is not yet in the kernel's hands, or, if that counts, some request is half in."""
         return any(not s.flushed or (half_in and s.machine.partial) for s in self.streams)
 
+    def shed(self) -> None:
+        """Close what stands between requests; who is on its way with the first one has its time."""
+        for stream in list(self.streams):
+            if stream.idle and not stream.machine.closing:
+                COUNTS["client.shed"] += 1
+                stream.close()
+
     def leave(self) -> None:
         """No new connections; those that stand idle close, the others close with their answer."""
-        self.leaving = True
+        self.life.close()
         if self.port is not None:
             self.port.stopListening()
-        for stream in list(self.streams):
-            if stream.idle:
-                stream.close()
+        self.shed()
         log("leaving", open=len(self.engine.requests), connections=len(self.streams))
--- a/mapleline/settings/platform.py
+++ b/mapleline/settings/platform.py
@@ -232,13 +232,20 @@
     dial_timeout_s: float
     conn_idle_s: float
     open_cap: int
+    management: Address | None = None  #: the operators' door, where there is one
 
 
 def _address(top: Section, name: str, environment: Mapping[str, str]) -> Address:
+    address = _address_if_any(top, name, environment)
+    if address is None:
+        top.fault(name, "missing")
+    return address or NOWHERE
+
+
+def _address_if_any(top: Section, name: str, environment: Mapping[str, str]) -> Address | None:
     text = top.text(name) or environment.get(f"EDGE_{name.upper()}", "")
     if not text:
-        top.fault(name, "missing")
-        return NOWHERE
+        return None
     try:
         return read_address(text)
     except ValueError as err:
@@ -291,6 +298,7 @@
         dial_timeout_s=limits.whole("dial_timeout_ns", 250_000_000, 1) / 1e9,
         conn_idle_s=limits.whole("conn_idle_ns", 30_000_000_000, 1) / 1e9,
         open_cap=limits.whole("open_cap", 30_000, 1),
+        management=_address_if_any(top, "management", environment),
     )
 
 
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -169,6 +169,27 @@
     def ask(self, *args, **kw):
         return self.send(*args, **kw).answer()
 
+    def call(self, line, body=b""):
+        lines = b"Host: a\r\nContent-Length: %d\r\n" % len(body)
+        self.sock.sendall(b"%b HTTP/1.1\r\n%b\r\n%b" % (line.encode(), lines, body))
+        status, headers, text = self.answer()
+        return status, headers, json.loads(text)
+
+    def ended(self):
+        """Wait for the other side to end the connection; what it still said."""
+        said = self.rest
+        try:
+            while more := self.sock.recv(65536):
+                said += more
+        except ConnectionResetError:
+            pass
+        return said
+
+
+def _address(text):
+    host, _, port = (text or "").rpartition(":")
+    return (host, int(port)) if port else None
+
 
 class Ingress:
     """The process, its address, and its log line by line."""
@@ -176,8 +197,8 @@
     def __init__(self, process, file):
         self.process, self.file, self.lines, self.past = process, file, queue.Queue(), []
         threading.Thread(target=self._read, daemon=True).start()
-        host, port = self.event("serving")["listen"].split(":")
-        self.address = (host, int(port))
+        serving = self.event("serving")
+        self.address, self.door = (_address(serving.get(key)) for key in ("listen", "management"))
 
     def _read(self):
         for line in self.process.stderr:
@@ -193,6 +214,14 @@
     def client(self):
         return Client(self.address)
 
+    def call(self, line, body=b""):
+        """A call at the operators' door: status, headers and what the JSON holds."""
+        return Client(self.door).call(line, body)
+
+    def ready(self):
+        """What a front that asks on a connection of its own hears."""
+        return self.client().ask(b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")[0]
+
     def ask_until(self, true, tries=300, **kw):
         """Ask again and again: the module draws by lot which tries it counts."""
         client = self.client()
