Serve beside the process that this one replaces, on one inherited listener

EDGE_ACCEPT_FD names the listening socket. The new process reads it once discovery has told it the list, the old one not after SIGTERM; claims in locked slots keep the descriptors of both within limits.sockets, counter connections are halved. Seen on the way: a listener inherited blocking makes accept() hang in whoever finds nothing, so it is set non-blocking; and a turn that accepts a hundred closed what was above the cap (client.turned_away), so a turn now accepts what there is room for (FrontPort).

--- a/mapleline/cores/supervisor.py
+++ b/mapleline/cores/supervisor.py
@@ -73,6 +73,8 @@
         cores = own.cores
         if config.management:
             raise ConfigError("management: not with several workers, whose supervisor has no such door")
+        if config.accept_fd is not None:
+            raise ConfigError(f"{platform.ACCEPT_FD}: not with several workers")
         if sockets_each(config.sockets, workers) < LEAST_SOCKETS:
             least = (LEAST_SOCKETS + SPARE_EACH) * workers + SPARE
             raise ConfigError(f"limits.sockets: expected at least {least} for {workers} workers")
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
+import socket
+import tempfile
 from dataclasses import replace
 from typing import Any
 
+from twisted.internet.tcp import Port
 from twisted.logger import globalLogPublisher
 
 from .engine import Engine
 from .http1.buffers import BufferPool
 from .http1.server import Translator
-from .lifecycle import Lifecycle
+from .lifecycle import Lifecycle, Phase
 from .net.alarm import ReactorAlarm, unix_clock
-from .net.clients import Front
+from .net.clients import Front, FrontPort, inherited_port
 from .net.counter import CONNECTIONS, CounterDriver
 from .net.discovery import Directory, Watcher, backoff
 from .net.management import DESCRIPTORS as DOOR_DESCRIPTORS
@@ -23,7 +27,9 @@
 from .policy import interface as i
 from .policy.brain import Brain
 from .settings import platform as configuration
-from .settings.platform import Address, Config, ConfigError
+from .settings.platform import ACCEPT_FD, Address, Config, ConfigError
+from .takeover.claims import claim
+from .takeover.slots import Slots
 from .telemetry import COUNTS, log, print_counters
 
 STAY_S = 0.75  # after SIGTERM clients still come for a while, and what comes is served
@@ -32,6 +38,9 @@
 BACKLOG = 512
 SPARE_DESCRIPTORS = 40  # standard streams, epoll, the listener, discovery, those on their way out
 CLIENTS_SHARE = 0.55  # of the descriptors: clients keep more than they use, attempts need one each
+LISTED_S = 1.5  # a process that takes over waits this long for discovery's own list
+GIVEN_UP_S = 0.25  # after SIGTERM, where another process takes what is new, idle connections may stay
+CLAIM_S = 0.1  # between two looks at what other processes of this ingress claim
 #: What a reload leaves as it is, by key of the file.
 KEPT = {
     "name": "name", "listen": "listen", "management": "management", "limits.sockets": "sockets",
@@ -50,16 +59,18 @@
         self.reactor, self.config = reactor, config
         start = config.start
         clock = unix_clock(clock_start)
-        self.life = Lifecycle()
+        self.life = Lifecycle(shared=config.accept_fd is not None)
+        if self.life.shared:
+            lanes //= 2  # the other process has as many
         buffers = self.buffers = BufferPool()
         self.engine = Engine(brain or Brain(start), clock)
         self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
         for_door = DOOR_DESCRIPTORS if config.management else 0
-        room = config.sockets - SPARE_DESCRIPTORS - for_door - 2 * lanes
-        for_clients = int(room * CLIENTS_SHARE)
+        self.own = SPARE_DESCRIPTORS + for_door + 2 * lanes  #: descriptors that serve nobody
+        for_clients, for_servers = self._divided(config.sockets)
         self.upstreams = UpstreamPool(
             reactor, self.engine, clock, buffers, config.dial_timeout_s, config.conn_idle_s,
-            room - for_clients,
+            for_servers,
         )  # fmt: skip
         self.engine.upstreams = self.upstreams
         self.counter = self.engine.counter = CounterDriver(
@@ -72,12 +83,18 @@
         )  # fmt: skip
         self.door = Door(reactor, self.life, buffers, self._held)
         self.directory = Directory(config.zone_names, config.kind_names)
-        self.watcher = self._watcher(config.discovery)
+        self.watcher = self._watcher(config.discovery, whole=self.life.shared)
 
     def _watcher(self, address: Address, whole: bool = False) -> Watcher:
         pauses = backoff(self.config.start)
         return Watcher(self.reactor, address, self.buffers, self.directory, self.told, pauses, whole)
 
+    def _divided(self, sockets: int) -> tuple[int, int]:
+        """Of so many descriptors, those for clients and those for agenda servers."""
+        room = max(0, sockets - self.own)
+        for_clients = int(room * CLIENTS_SHARE)
+        return for_clients, room - for_clients
+
     def told(self, news: i.ServerNews) -> None:
         """Addresses first: the module may send as soon as it knows."""
         COUNTS["discovery.lines"] += len(news.servers)
@@ -87,12 +104,22 @@
                 self.upstreams.close_idle(line.server)
         self.engine.news(news)
         # An empty list from before the start is no reason to send clients here.
-        if news.servers or news.news != i.News.CACHED:
-            self.life.listed()
+        if news.news != i.News.CACHED:
+            self._listed()
+        elif news.servers:
+            # Who takes over from a process that serves has time to hear what is true now.
+            self.reactor.callLater(LISTED_S, self._listed) if self.life.shared else self._listed()
+
+    def _listed(self) -> None:
+        self.life.listed()
+        self.front.read_port()
 
     def run(self) -> None:
         known = self._read_known(self.directory, self.config)
-        self.front.port = self._listen("listen", self.config.listen, self.front)
+        if self.life.shared:
+            self._inherit()
+        else:
+            self.front.port = self._listen("listen", self.config.listen, self.front, FrontPort)
         if self.config.management:
             self.door.port = self._listen("management", self.config.management, self.door)
         self.told(known)
@@ -102,12 +129,60 @@
         self.reactor.run()
         print_counters("exit")
 
-    def _listen(self, key: str, address: Address, factory: Any) -> Any:
-        host, port = address
+    def _listen(self, key: str, address: Address, factory: Any, kind: type[Port] = Port) -> Port:
+        host, number = address
+        port = kind(number, factory, BACKLOG, host, self.reactor)
         try:
-            return self.reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host)
+            port.startListening()
         except Exception as err:
             raise ConfigError(f"{key}: {err}") from None
+        return port
+
+    def _inherit(self) -> None:
+        """Listen on the socket that the platform holds, and find the other process, if there is one."""
+        fd = self.config.accept_fd
+        try:
+            with socket.socket(fileno=os.dup(fd)) as listener:
+                if listener.type != socket.SOCK_STREAM or listener.family != socket.AF_INET:
+                    raise OSError("expected a stream socket over IPv4")
+                if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                    raise OSError("expected a listening socket")
+            if self.config.sockets // 2 <= self.own:
+                raise ConfigError(f"limits.sockets: expected more than {2 * self.own} for two processes")
+            os.set_blocking(fd, False)  # the other process may take what woke us: accept must not wait
+            self.front.port = inherited_port(self.reactor, fd, self.front)
+        except OSError as err:
+            raise ConfigError(f"{ACCEPT_FD}: {err.strerror or err}") from None
+        os.close(fd)  # the reactor has a copy, and this one would outlive it
+        self.front.read_port()
+        host, port = self.front.port.getHost().host, self.front.port.getHost().port
+        self.slots: Slots | None = None
+        try:
+            self.slots = Slots(tempfile.gettempdir(), f"{host}-{port}")
+        except OSError as err:
+            COUNTS["takeover.no_slot"] += 1
+            log("no slot", why=str(err))
+        self._claim()
+
+    def _claim(self) -> None:
+        """What the other process does not use is ours; looked at again and again."""
+        self.reactor.callLater(CLAIM_S, self._claim)
+        total, start = self.config.sockets, self.own
+        claimed = total // 2  # whatever the others do
+        if self.slots is not None:
+            held = self.own + len(self.front.streams) + self.upstreams.held
+            others = [total - start if one is None else one for one in self.slots.others()]
+            leaving = self.life.phase is Phase.LEAVING
+            claimed = claim(total, start, held, self.slots.elder, leaving, others)
+            try:
+                self.slots.publish(claimed)
+            except OSError:
+                COUNTS["takeover.not_published"] += 1
+            COUNTS["takeover.beside"] += bool(others)
+        for_clients, for_servers = self._divided(claimed)
+        if (for_clients, for_servers) != (self.front.most, self.upstreams.most):
+            self.front.resize(for_clients)
+            self.upstreams.resize(for_servers)
 
     def _held(self) -> dict[str, int]:
         """What an operator watches during a drain: it falls to nothing."""
@@ -166,6 +241,9 @@
         if not self.life.leave(self.reactor.seconds()):
             return
         log("told to leave", open=len(self.engine.requests))
+        if self.life.shared:
+            self.front.stop_accepting()  # at once: the other process takes what waits
+            stay_s = GIVEN_UP_S
         self.reactor.callLater(stay_s, self._finish)
 
     def _finish(self) -> None:
--- a/mapleline/lifecycle.py
+++ b/mapleline/lifecycle.py
@@ -22,9 +22,14 @@
 
 
 class Lifecycle:
-    """Starting, ready, draining, leaving.  Times are in seconds, on a clock that never goes back."""
+    """Starting, ready, draining, leaving.  Times are in seconds, on a clock that never goes back.
 
-    def __init__(self) -> None:
+    `shared`: another process may serve the same listening socket, before this one is ready and after it
+    leaves.
+    """
+
+    def __init__(self, shared: bool = False) -> None:
+        self.shared = shared
         self._listed = False
         self._drained_at: float | None = None
         self._left_at: float | None = None
@@ -40,9 +45,22 @@
 
     @property
     def ready(self) -> bool:
-        """What `/health/ready` says."""
+        """Whether this process is ready to serve."""
         return self.phase is Phase.READY
 
+    @property
+    def open(self) -> bool:
+        """What `/health/ready` says: whether clients may come to this address, whoever takes them."""
+        handed_on = self.shared and self._left_at is not None and self._drained_at is None
+        return self.ready or handed_on and self._listed
+
+    @property
+    def accepts(self) -> bool:
+        """Whether new connections are taken."""
+        if self.shared:
+            return self._listed and self._left_at is None
+        return not self._closed
+
     # --- what happened
 
     def listed(self) -> None:
@@ -79,7 +97,8 @@
     @property
     def last(self) -> bool:
         """Whether an answer given now is the last on its connection."""
-        return self._closed or self.phase is Phase.DRAINING
+        handed_on = self.shared and self._left_at is not None
+        return self._closed or handed_on or self.phase is Phase.DRAINING
 
     def sheds(self, now: float) -> bool:
         """Whether connections between requests are to be closed now."""
--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -6,11 +6,12 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from itertools import takewhile
-from socket import socket, socketpair
+from socket import AF_INET, socket, socketpair
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
+from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
 from ..engine import Engine, Open
@@ -29,6 +30,7 @@
 IDLE_S = 60.0  # between requests
 MOST_DISCARDED = 256 * 1024  # bytes read behind an answer that is the last; what is left then goes unread
 OVERSHOOT = 24  # connections above the cap while none stands idle
+ACCEPTED_LEAST = 16  # in one turn, if so many come: fewer than the overshoot
 
 
 class ClientStream(Stream):
@@ -90,7 +92,7 @@
 
     def _take(self, request: Request) -> None:
         if request.target == READY_PATH and request.method == b"GET":
-            return self.answer(200 if self.front.life.ready else 503)
+            return self.answer(200 if self.front.life.open else 503)
         wish = self.front.translator.read(request)
         if len(self.front.engine.requests) >= self.front.open_cap:
             COUNTS["client.over_open_cap"] += 1
@@ -191,6 +193,22 @@
         self._held.discard(request_id)
 
 
+class FrontPort(Port):
+    """Accepts no more in one turn than the front has room for: pausing counts from the next turn only."""
+
+    def doRead(self) -> None:
+        room = self.factory.most - len(self.factory.streams)
+        self.numberAccepts = min(self.numberAccepts, max(ACCEPTED_LEAST, room))
+        super().doRead()
+
+
+def inherited_port(reactor: Any, fd: int, front: Front) -> FrontPort:
+    """A port on a copy of a listening socket's descriptor; closing it does not shut the socket down."""
+    port = FrontPort._fromListeningDescriptor(reactor, fd, AF_INET, front)
+    port.startListening()
+    return port
+
+
 class Front(Factory):
     """All client connections: their cap, their sweeps, and leaving."""
 
@@ -239,26 +257,40 @@
             self._make_room(stream)
 
     def _make_room(self, newest: ClientStream) -> None:
-        """Descriptors are capped: one that stands idle makes room, else the next ones wait unaccepted.
+        """Descriptors are capped: one that stands idle makes room, else the next ones wait unaccepted."""
+        if not self._close_idle(newest) and self._accepting and self.port is not None:
+            COUNTS["client.accepting_paused"] += 1
+            self._accepting = False
+            self.read_port()
 
-        The order spares a search: before the one that has been idle longest there are none but busy ones.
-        """
+    def _close_idle(self, newest: ClientStream | None = None) -> bool:
+        """The order spares a search: before the longest idle one there are none but busy ones."""
         for stream in self.streams:
             if stream.idle and not stream.machine.closing and stream is not newest:
                 COUNTS["client.closed_for_room"] += 1
                 # At once, as the reactor would in its next turn: this one may go on to accept dozens.
-                return stream.transport.connectionLost(Failure(ConnectionDone()))
-        if self._accepting and self.port is not None:
-            COUNTS["client.accepting_paused"] += 1
-            self._accepting = False
-            self.port.stopReading()
+                stream.transport.connectionLost(Failure(ConnectionDone()))
+                return True
+        return False
 
     def parted(self, stream: ClientStream) -> None:
         self.streams.pop(stream, None)
         if not self._accepting and len(self.streams) < self.most and self.port is not None:
             self._accepting = True
-            if self.port.connected:
-                self.port.startReading()
+            self.read_port()
+
+    def read_port(self) -> None:
+        """Take new connections, or leave them to the kernel: as there is room, and as the lifecycle says."""
+        if self.port is not None and self.port.connected:
+            (self.port.startReading if self._accepting and self.life.accepts else self.port.stopReading)()
+
+    def resize(self, most: int) -> None:
+        """Another bound on connections; idle ones beyond it go."""
+        self.most = most
+        while len(self.streams) > most and self._close_idle():
+            pass
+        self._accepting = len(self.streams) < most
+        self.read_port()
 
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_S, self._sweep)
@@ -330,20 +362,34 @@
         self._give(kept, stream.recent)
 
     def unfinished(self, half_in: bool) -> bool:
-        """Some answer is not yet in the kernel's hands, or, if that counts, some request is half in."""
-        return any(not s.flushed or (half_in and s.machine.partial) for s in self.streams)
+        """Some answer is not yet in the kernel's hands, or, if that counts, some request is half in.
+
+        On a socket that another process shares, a connection that is new has not been closed by `leave`.
+        """
+        coming = self.life.shared
+        return any(
+            not s.flushed or half_in and (s.machine.partial or coming and not s.asked) for s in self.streams
+        )
 
     def shed(self) -> None:
-        """Close what stands between requests; who is on its way with the first one has its time."""
+        """Close what stands between requests; who is on its way with one has its time."""
         for stream in list(self.streams):
-            if stream.idle and not stream.machine.closing:
+            if stream.idle and stream.asked and not stream.machine.closing and not stream.unread:
                 COUNTS["client.shed"] += 1
                 stream.close()
 
+    def stop_accepting(self) -> None:
+        """No new connections; a shared socket stays open in the other process."""
+        port, self.port = self.port, None
+        if port is not None:
+            port.stopListening()
+
     def leave(self) -> None:
         """No new connections; those that stand idle close, the others close with their answer."""
         self.life.close()
-        if self.port is not None:
-            self.port.stopListening()
+        self.stop_accepting()
+        for stream in list(self.streams):
+            if stream.idle and not stream.asked and not self.life.shared:
+                stream.close()
         self.shed()
         log("leaving", open=len(self.engine.requests), connections=len(self.streams))
--- a/mapleline/net/streams.py
+++ b/mapleline/net/streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from socket import MSG_PEEK
+
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -43,6 +45,17 @@
         else:
             self.transport.write(data)
 
+    @property
+    def unread(self) -> bool:
+        """Something has come that the reactor has not told of yet: bytes, an end or a fault."""
+        try:
+            self.transport.getHandle().recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     def resumeProducing(self) -> None:
         """Twisted has handed everything to the kernel (and calls this once on registering)."""
         if not self._registering:
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from socket import MSG_PEEK
 from typing import Any, NamedTuple
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -81,14 +80,9 @@
         """
         if not self.connected or not self.machine.reusable:
             return False
-        try:
-            self.transport.getHandle().recv(1, MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        COUNTS["upstream.not_quiet"] += 1
-        return False
+        unread = self.unread
+        COUNTS["upstream.not_quiet"] += unread
+        return not unread
 
     def drop(self) -> None:
         """Give up the attempt that is out, or an idle connection."""
@@ -234,6 +228,12 @@
         if server in self.servers:
             self.servers[server].retire(float("inf"))
 
+    def resize(self, most: int) -> None:
+        """Another bound on connections; what is idle beyond it goes, what is in use stays."""
+        self.most = most
+        while self.held > most and self.make_room():
+            pass
+
     def make_room(self) -> bool:
         """Close what has been idle longest: servers used before must not keep others from a connection."""
         longest = min((s.idle[0] for s in self.servers.values() if s.idle), key=_idle_since, default=None)
--- a/mapleline/settings/platform.py
+++ b/mapleline/settings/platform.py
@@ -202,6 +202,7 @@
     )
 
 
+ACCEPT_FD = "EDGE_ACCEPT_FD"
 Address = tuple[str, int]
 NOWHERE: Address = ("", 0)  # stands for an address at fault
 
@@ -233,6 +234,7 @@
     conn_idle_s: float
     open_cap: int
     management: Address | None = None  #: the operators' door, where there is one
+    accept_fd: int | None = None  #: of an inherited listening socket, used in place of `listen`
 
 
 def _address(top: Section, name: str, environment: Mapping[str, str]) -> Address:
@@ -299,9 +301,21 @@
         conn_idle_s=limits.whole("conn_idle_ns", 30_000_000_000, 1) / 1e9,
         open_cap=limits.whole("open_cap", 30_000, 1),
         management=_address_if_any(top, "management", environment),
+        accept_fd=_descriptor(environment, faults),
     )
 
 
+def _descriptor(environment: Mapping[str, str], faults: list[ConfigError] | None) -> int | None:
+    """`EDGE_ACCEPT_FD`, which stands in no file: it tells of this one process."""
+    text = environment.get(ACCEPT_FD, "")
+    if not text:
+        return None
+    if text.isascii() and text.isdigit():
+        return int(text)
+    Section({}, "", faults).fault(ACCEPT_FD, f"expected a descriptor's number, got {text!r}")
+    return None
+
+
 def read_file(path: str) -> object:
     """The JSON of a file."""
     try:
--- /dev/null
+++ b/mapleline/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Two processes as one ingress while one replaces the other (docs/design/daily-operation.md)."""
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -243,12 +243,12 @@
         return self.event("counters")["counts"]
 
 
-def start(config, tmp_path, *flags, command=(), line=None):
+def start(config, tmp_path, *flags, command=(), line=None, fds=(), **environment):
     file = tmp_path / "config.json"
     file.write_text(config if isinstance(config, str) else json.dumps(config))
-    environment = {**os.environ, "EDGE_CONFIG": str(file)}
+    environment = {**os.environ, "EDGE_CONFIG": str(file), **environment}
     line = line or [sys.executable, *flags, "-m", "mapleline", *command]
-    return subprocess.Popen(line, cwd=ROOT, env=environment, stderr=subprocess.PIPE)
+    return subprocess.Popen(line, cwd=ROOT, env=environment, stderr=subprocess.PIPE, pass_fds=fds)
 
 
 def config_for(counter, discovery, servers, settings=None, **changes):
