--- a/mapleline/engine.py
+++ b/mapleline/engine.py
@@ -20,6 +20,7 @@
 
 MAX_ID = 1 << 32
 RAISED_AGAIN_NS = 1_000_000_000  # a timer whose handling raised is told once more after this
+COMING_NS = 3_600_000_000_000  # a body that is coming is bounded by its driver, and by this
 COUNT_WAIT_NS = 1_000_000_000  # where the settings name none
 MOST_REPORTS = 20  # tracebacks written to the log; the rest is only counted
 
@@ -32,6 +33,7 @@
     """Gives a client its one final answer."""
 
     def served(self, answer: Any) -> None: ...
+    def begun(self, answer: Any, source: Any) -> None: ...
     def refused(self, retry_in_ns: int, over_quota: bool) -> None: ...
     def failed(self, overdue: bool) -> None: ...
 
@@ -84,6 +86,7 @@
     wish: Any
     over: bool = False
     carrier: Any = None  #: the driver's own
+    first_ns: int = 0  #: how long to the first byte of an answer that was begun
 
 
 @dataclass(slots=True, eq=False)
@@ -98,6 +101,8 @@
     sent: int = 0
     may_have_run: bool = False
     answered: bool = False
+    begun: bool = False  #: its answer is on its way, and no deadline cuts it off
+    spent: bool = False  #: set by the driver: what has gone out is not held any more and cannot go again
     live: dict[int, Attempt] = field(default_factory=dict)
 
     @property
@@ -151,7 +156,7 @@
         """Take a request in; from here on exactly one method of `answerer` is called, and once."""
         self._next = (self._next + 1) % MAX_ID
         arrival.request = self._next
-        deadline = self._clock() + arrival.ttl_ns
+        deadline = self._clock() + (COMING_NS if arrival.coming else arrival.ttl_ns)
         cls = self._start.classes[arrival.cls]
         opened = self.requests[self._next] = Open(self._next, cls, wish, answerer, deadline)
         COUNTS["request.accepted"] += 1
@@ -159,14 +164,41 @@
         self._tell(arrival)
         return opened
 
+    def whole(self, opened: Open, ttl_ns: int) -> None:
+        """The last byte of a request that was coming has come."""
+        if not opened.answered:
+            opened.deadline_ns = self._clock() + ttl_ns
+            self._push(opened.deadline_ns, opened)
+            self._tell(i.Whole(opened.id))
+
     def left(self, opened: Open) -> None:
         """The client is gone."""
-        if not opened.answered:
+        if opened.begun:
+            COUNTS["request.cut_by_client"] += 1
+            for attempt in list(opened.live.values()):
+                self.upstreams.cancel(attempt)
+                self.attempt_ended(attempt, i.Result.CANCELLED)
+        elif not opened.answered:
             opened.answered = True
             self._close(opened)
             COUNTS["request.left"] += 1
             self._tell(i.Left(opened.id))
 
+    def attempt_begun(self, attempt: Attempt, answer: Any, source: Any) -> bool:
+        """The answer has begun to come and is the final one; False if there is nobody to give it to.
+
+        The answerer takes what follows from `source`; `attempt_ended` follows with the last byte.
+        """
+        opened = attempt.open
+        if attempt.over or opened.answered:
+            return False
+        opened.begun = True
+        attempt.first_ns = self._clock() - attempt.sent_ns
+        COUNTS["request.begun"] += 1
+        self._answer(opened, "request.served", "begun", answer, source)
+        self._tell(i.Begun(opened.id, attempt.number, attempt.server))
+        return True
+
     def attempt_ended(self, attempt: Attempt, result: i.Result, answer: Any = None) -> None:
         if attempt.over:
             return
@@ -180,7 +212,7 @@
             opened.may_have_run = True
         if result == i.Result.OK and not opened.answered:
             self._answer(opened, "request.served", "served", answer)
-        took = self._clock() - attempt.sent_ns
+        took = attempt.first_ns or self._clock() - attempt.sent_ns
         self._tell(i.Outcome(opened.id, attempt.server, attempt.number, took, result, opened.answered))
 
     def counted(self, call: Call, result: i.Result, total: float = 0.0) -> None:
@@ -285,6 +317,8 @@
 
     def _overdue(self, opened: Open) -> None:
         """The backstop under the module's own guard: no request outlives its deadline unanswered."""
+        if opened.begun or opened.deadline_ns > self._clock():
+            return  # on its way, or its time has begun anew since
         if not opened.answered:
             COUNTS["request.overdue"] += 1
             self._answer(opened, "request.failed", "failed", True)
@@ -315,7 +349,7 @@
     def _send(self, action: i.Send) -> None:
         now, opened = self._clock(), self.requests.get(action.request)
         left = opened.deadline_ns - now if opened else 0
-        if opened is None or left <= 0 or opened.sent >= self._start.max_attempts:
+        if opened is None or left <= 0 or opened.spent or opened.sent >= self._start.max_attempts:
             number = opened.sent if opened else 0
             COUNTS[ENDED[i.Result.MOOT]] += 1
             self._queue.append(
--- a/mapleline/http1/buffers.py
+++ b/mapleline/http1/buffers.py
@@ -9,11 +9,18 @@
 class BufferPool:
     """Hands out buffers of `BUFFER_SIZE` bytes and takes them back."""
 
-    def __init__(self, kept: int = KEPT) -> None:
+    def __init__(self, kept: int = KEPT, most: int = 1 << 30) -> None:
+        """`most` bytes are to be out at once: nobody is refused a buffer, who can wait asks `tight` first."""
         self._free: list[bytearray] = []
         self._kept = kept
+        self._most = most // BUFFER_SIZE
         self.out = 0  #: buffers in use
 
+    @property
+    def tight(self) -> bool:
+        """More is out than there should be: what can go on, or wait, does."""
+        return self.out >= self._most
+
     def take(self) -> bytearray:
         self.out += 1
         return self._free.pop() if self._free else bytearray(BUFFER_SIZE)
--- a/mapleline/http1/chunked.py
+++ b/mapleline/http1/chunked.py
@@ -7,7 +7,8 @@
 from .buffers import BufferPool, Inbox
 
 MOST_LINE = 256  # bytes of one size line: nobody needs longer extensions, and none is read
-MOST_FRAMING = 64 * 1024  # bytes of size lines: a body in chunks of one byte each is no body but a load
+MOST_FRAMING = 64 * 1024  # bytes of size lines, and FRAMING_EACH more for each byte of body: chunks of one
+FRAMING_EACH = 8  # byte each are allowed, empty work is not
 MOST_TRAILERS = 8 * 1024
 SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?")
 TRAILER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[^\x00\r\n]*")
@@ -35,7 +36,10 @@
     by the constants above.  Trailers are checked and dropped; `strict` refuses those that belong into a head.
     """
 
-    __slots__ = ("_framing", "_inbox", "_left", "_line", "_most", "_step", "_strict", "_trailers", "whole")
+    length = None  #: not known beforehand
+
+    __slots__ = ("_framing", "_inbox", "_left", "_line", "_most", "_step", "_strict", "_taken",
+                 "_trailers", "whole")  # fmt: skip
 
     def __init__(self, pool: BufferPool, most: int, strict: bool) -> None:
         self._inbox = Inbox(pool)
@@ -44,6 +48,7 @@
         self._line = b""  # the part of a line that has come
         self._left = 0  # bytes of the chunk in hand that have not come
         self._framing = self._trailers = 0
+        self._taken = 0  # bytes of body given out
         self._step = self._size
         self.whole = False
 
@@ -52,6 +57,11 @@
         """Bytes that wait here, in buffers and in a line that is not whole."""
         return self._inbox.size + len(self._line)
 
+    @property
+    def size(self) -> int:
+        """Bytes of body so far."""
+        return self._taken + self._inbox.size
+
     def feed(self, data: bytes, at: int = 0) -> int:
         """Take in `data` from `at`; returns where the body ends in it, or its length.  Raises BadChunk."""
         while at < len(data) and not self.whole:
@@ -60,7 +70,7 @@
 
     def take(self) -> bytes:
         """The body, or what there is of it; the buffers go back."""
-        self._line = b""
+        self._taken += self._inbox.size
         return self._inbox.take()
 
     def _line_of(self, data: bytes, at: int, most: int) -> tuple[bytes | None, int]:
@@ -79,7 +89,7 @@
     def _size(self, data: bytes, at: int) -> int:
         line, end = self._line_of(data, at, MOST_LINE)
         self._framing += end - at
-        if self._framing > MOST_FRAMING:
+        if self._framing > MOST_FRAMING + FRAMING_EACH * self.size:
             raise BadChunk(413, "too many chunks")
         if line is None:
             return end
@@ -87,7 +97,7 @@
         if not match:
             raise BadChunk(400, "malformed chunk")
         self._left = int(match[1], 16)
-        if self._inbox.size + self._left > self._most:
+        if self.size + self._left > self._most:
             raise BadChunk(413, "body too large")
         self._step = self._data if self._left else self._trailer
         return end
--- a/mapleline/http1/client.py
+++ b/mapleline/http1/client.py
@@ -17,10 +17,13 @@
     before it are good and are given, what is behind it is never read.
     """
 
-    __slots__ = ("_reader", "calls", "reusable", "spoilt")
+    __slots__ = ("_keep", "_reader", "calls", "cut", "reusable", "spoilt")
 
-    def __init__(self, pool: BufferPool) -> None:
-        self._reader = MessageReader(pool)
+    def __init__(self, pool: BufferPool, gather: int = 0) -> None:
+        """With `gather`, larger bodies are passed on as they come: see `MessageReader`."""
+        self._reader = MessageReader(pool, gather, eager=True)
+        self.cut = False  #: the answer that was being passed on cannot be read to its end
+        self._keep = True  # the connection outlives the answer that is being passed on
         self.calls: deque[Any] = deque()  #: tags of the calls unanswered
         self.reusable = True
         self.spoilt = ""  #: why, once something has come that no call's answer can begin with
@@ -36,6 +39,33 @@
         self._reader.feed(data)
         return self._answers(False)
 
+    @property
+    def passing(self) -> bool:
+        """The last answer given has more to come."""
+        return self._reader.passing
+
+    def pass_on(self, data: bytes) -> bytes:
+        """More of the answer that is being passed on; `passing` is False once that was the last of it."""
+        self._reader.feed(data)
+        try:
+            part = self._reader.next_part()
+        except Malformed as err:
+            self.spoilt, self.cut = err.why, True
+            self._give_up()
+            return b""
+        if not self._reader.passing:
+            if self._reader.waiting:
+                self.spoilt = "more than was asked for"
+            if self.spoilt or not self._keep:
+                self._give_up()
+        return part
+
+    def ended_passing(self, clean: bool) -> bool:
+        """The connection is gone: whether the answer that is being passed on is whole by that."""
+        whole = clean and self._reader.end()
+        self._give_up()
+        return whole
+
     def ended(self, clean: bool) -> list[tuple[Any, Response]]:
         """The connection is gone: an answer that only its clean end could end, if there is one.
 
@@ -55,6 +85,9 @@
                 if response is None:
                     break
                 found.append((self.calls.popleft(), response))
+                if response.more:
+                    self._keep = response.keep_alive
+                    break
                 if not response.keep_alive:
                     self._give_up()
         except Malformed as err:
--- a/mapleline/http1/messages.py
+++ b/mapleline/http1/messages.py
@@ -5,25 +5,31 @@
 import re
 from dataclasses import dataclass
 
+from .bodies import BodyUntilClose, BodyWithLength
 from .buffers import BufferPool, Inbox
 from .chunked import BadChunk, ChunkedBody
 
 MOST_HEAD = 8 * 1024
-MOST_BODY = 64 * 1024
+MOST_WHOLE = 64 * 1024  # bytes of a body that is never passed on before it is whole
+MOST_BODY = 32 * 1024 * 1024
 MOST_INTERIM = 32  # 1xx before one answer: a server that sends no other must not keep its attempt for ever
 END_OF_HEAD = b"\r\n\r\n"
 
 # One match over the whole head costs less than a check a line.  No folded lines, no bare CR or LF, no NUL.
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 HEADER_LINES = re.compile(rb"(?:" + TOKEN + rb":[^\x00\r\n]*\r\n)*")
-REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.([01])")
+# The target in origin form, or in absolute form (RFC 9112, section 3.2.2), whose authority Host repeats.
+REQUEST_LINE = re.compile(
+    rb"(" + TOKEN + rb") (?:[Hh][Tt][Tt][Pp]://[^\x00-\x20/?#@\x7f]+)?((?:/[\x21-\x7e]*)?) HTTP/1\.([01])"
+)
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00\r\n]*)?")
 # uri-host [":" port] (RFC 9110, section 7.2).  Two Host lines joined have a space, which none may hold.
 HOST = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[!$&'()*+,;=\-._~%0-9A-Za-z]*)(?::[0-9]{0,5})?")
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large", 429: b"Too Many Requests",
+    409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large", 417: b"Expectation Failed",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 501: b"Not Implemented",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
@@ -43,10 +49,13 @@
 @dataclass(slots=True)
 class Request:
     method: bytes
-    target: bytes
+    target: bytes  #: in origin form
     headers: Headers
     body: bytes
     keep_alive: bool
+    more: bool = False  #: `body` is what has come, the rest follows as it comes
+    minor: bytes = b"1"  #: of the version, HTTP/1.x
+    length: int | None = 0  #: of the whole body; None in chunks
 
 
 @dataclass(slots=True)
@@ -55,6 +64,8 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    more: bool = False  #: `body` is what has come, the rest follows as it comes
+    length: int | None = None  #: of the whole body, where it is known beforehand
 
 
 def parse_headers(block: bytes) -> Headers:
@@ -70,82 +81,99 @@
 
 
 def _keep_alive(minor: bytes, headers: Headers) -> bool:
-    said = headers.get(b"connection", b"").lower()
-    return b"close" not in said if minor == b"1" else b"keep-alive" in said
+    said = headers.get(b"connection")
+    if said is None:
+        return minor == b"1"
+    tokens = [token.strip() for token in said.lower().split(b",")]  # RFC 9110, section 7.6.1
+    return b"close" not in tokens and (minor == b"1" or b"keep-alive" in tokens)
 
 
-def _length(headers: Headers) -> int | None:
-    """Content-Length, or None where there is none.  Two that differ, signs and lists are malformed."""
+def _length(headers: Headers, most: int) -> int | None:
+    """Content-Length, or None where there is none.  Signs, and lists of what differs, are malformed."""
     text = headers.get(b"content-length")
     if text is None:
         return None
     if not text.isdigit():
-        raise Malformed(400, "bad Content-Length")
-    if len(text) > 8 or int(text) > MOST_BODY:
+        # The same number again says nothing else (RFC 9110, section 8.6).
+        text, *others = [part.strip(b" \t") for part in text.split(b",")]
+        if not text.isdigit() or any(other != text for other in others):
+            raise Malformed(400, "bad Content-Length")
+    if len(text) > 19 or int(text) > most:
         raise Malformed(413, "body too large")
     return int(text)
 
 
 class MessageReader:
-    """Takes bytes as they come, split or run together, and gives whole messages.
+    """Takes bytes as they come, split or run together, and gives messages.
 
-    A message that arrives whole is parsed where it lies; only what must wait is copied to a pooled buffer.
+    A message that arrives whole is parsed where it lies; only what must wait is copied to a pooled buffer,
+    and each byte is looked at once, however they are split.
+
+    Without `gather` bodies are given whole and hold `MOST_WHOLE` at most.  With it they may hold `MOST_BODY`;
+    one that is not whole with `gather` bytes, or with `MOST_WHOLE` while buffers are short, is given with
+    `more` set, and the rest by `next_part` until `passing` is False.
     """
 
-    __slots__ = ("_chunks", "_data", "_inbox", "_interim", "_need", "_pool", "_start")
+    __slots__ = ("_body", "_data", "_eager", "_gather", "_inbox", "_interim", "_most", "_pool", "_seeking",
+                 "_start", "_tail", "expects", "passing")  # fmt: skip
 
-    def __init__(self, pool: BufferPool) -> None:
+    def __init__(self, pool: BufferPool, gather: int = 0, eager: bool = False) -> None:
+        """`eager`: a body whose length says that it will be passed on is given with its first byte."""
         self._pool = pool
+        self._gather, self._eager = gather, eager
+        self._most = MOST_BODY if gather else MOST_WHOLE
         self._inbox = Inbox(pool)
-        self._chunks: ChunkedBody | None = None  # the body in hand, its head already taken out
+        self._body: BodyWithLength | BodyUntilClose | ChunkedBody | None = None  # in hand, its head taken out
         self._start: tuple | None = None  # that head
         self._data = b""  # the newest bytes, not yet looked at
-        self._need = 0  # the message in hand is not whole with less than this
+        self._seeking = False  # what waits holds no end of a head
+        self._tail = b""  # the last bytes of it: an end may be split
         self._interim = 0  # 1xx before the answer in hand
+        self.expects = False  #: the client waits for a 100 before it sends the body in hand
+        self.passing = False  #: a message has been given whose body goes on
 
     @property
     def waiting(self) -> int:
         """Bytes taken in that belong to no message given out."""
-        held = 0 if self._chunks is None else self._chunks.held + 1
+        held = 0 if self._body is None else self._body.held + 1
         return self._inbox.size + len(self._data) + held
 
+    @property
+    def body_size(self) -> int:
+        """Bytes so far of a body in hand."""
+        return 0 if self._body is None else self._body.size
+
     def feed(self, data: bytes) -> None:
         if self._data:
             self._inbox.put(self._data)
-            self._data = data
-        else:
-            self._data = data
+            if self._seeking:
+                self._tail = (self._tail + self._data)[-3:]
+        self._data = data
 
     def clear(self) -> None:
         """Nothing that waits will be read any more; its buffers go back now."""
         self._inbox.take()
         self._data = b""
-        if self._chunks is not None:
-            self._chunks.take()
-            self._chunks = None
+        self.passing = self.expects = False
+        if self._body is not None:
+            self._body.take()
+            self._body = None
 
     def _all(self) -> bytes:
         if self._inbox.size:
             self._data = self._inbox.take() + self._data
         return self._data
 
-    def _wait(self, need: int) -> None:
-        self._need = need
-        if self._data:
-            self._inbox.put(self._data)
-            self._data = b""
-
     def _done(self, end: int) -> None:
         self._data = self._data[end:] if end < len(self._data) else b""
-        self._need = 0
 
     def _head(self) -> tuple[bytes, bytes, int] | None:
         """Start line, header block, and where the body begins."""
-        if not self.waiting:
-            return None
-        if self.waiting < self._need:
-            self._wait(self._need)
+        if not self._data and not self._inbox.size:
             return None
+        if self._seeking and self.waiting <= MOST_HEAD and END_OF_HEAD not in self._tail + self._data:
+            return None  # `feed` keeps it
+        self._seeking, self._tail = False, b""
         data = self._all()
         if data.startswith(b"\r\n"):  # an empty line before a message is passed over (RFC 9112, 2.2)
             data = self._data = data.lstrip(b"\r\n")
@@ -153,26 +181,51 @@
         if end < 0:
             if len(data) > MOST_HEAD:
                 raise Malformed(431, "head too large")
-            self._wait(len(data) + 1)
+            if data:
+                self._inbox.put(data)
+                self._data, self._seeking, self._tail = b"", True, data[-3:]
             return None
         line, _, block = data[: end + 2].partition(b"\r\n")
         return line, block, end + 4
 
-    def _chunked(self) -> bytes | None:
-        """The body in chunks, once it is whole."""
-        body, data = self._chunks, self._all()
+    def _take_in(self) -> None:
+        """The body in hand takes what has come, up to its end."""
         try:
-            end = body.feed(data)
+            end = self._body.feed(self._all())
         except BadChunk as err:
             raise Malformed(err.status, err.why) from None
         self._done(end)
-        if not body.whole:
+
+    def _gathered(self) -> tuple[bytes, bool] | None:
+        """The body in hand, once it is whole or is to be passed on, and whether more of it follows."""
+        body = self._body
+        self._take_in()
+        if body.whole:
+            self._body = None
+            return body.take(), False
+        if not self._gather:
             return None
-        self._chunks = None
-        return body.take()
+        size = body.size
+        known = self._eager and (body.length or 0) > MOST_WHOLE
+        if size > self._gather or size > MOST_WHOLE and self._pool.tight or known and size:
+            self.passing = True
+            return body.take(), True
+        return None
+
+    def next_part(self) -> bytes:
+        """What has come of the body that is being passed on; `passing` is False once that was the last."""
+        self._take_in()
+        part = self._body.take()
+        if self._body.whole:
+            self._body, self.passing = None, False
+        return part
+
+    def end(self) -> bool:
+        """The connection is gone: whether that ends the body that is being passed on."""
+        return self.passing and type(self._body) is BodyUntilClose
 
     def next_request(self) -> Request | None:
-        if self._chunks is None:
+        if self._body is None:
             head = self._head()
             if head is None:
                 return None
@@ -181,6 +234,7 @@
             if not match:
                 raise Malformed(400, "malformed request line")
             method, target, minor = match.groups()
+            target = target or b"/"
             headers = parse_headers(block)
             coding = headers.get(b"transfer-encoding")
             if coding is not None:
@@ -191,39 +245,46 @@
                     raise Malformed(501, "unknown transfer coding")
                 length = 0
             else:
-                length = _length(headers) or 0
+                length = _length(headers, self._most) or 0
             host = headers.get(b"host")
             if not HOST.fullmatch(host) if host is not None else minor == b"1":
                 raise Malformed(400, "no Host, two, or one that is none")  # RFC 9112, section 3.2
             if coding is None:
                 end = start + length
-                if len(self._data) < end:
-                    self._wait(end)
-                    return None
-                body = self._data[start:end]
-                self._done(end)
-                return Request(method, target, headers, body, _keep_alive(minor, headers))
-            self._chunks = ChunkedBody(self._pool, MOST_BODY, strict=True)
-            self._start = (method, target, minor, headers)
+                if len(self._data) >= end:
+                    body = self._data[start:end]
+                    self._done(end)
+                    return Request(method, target, headers, body, _keep_alive(minor, headers), False, minor)
+                self._body = BodyWithLength(self._pool, length)
+            else:
+                self._body = ChunkedBody(self._pool, self._most, strict=True)
+            self._start = (method, target, minor, headers, self._body.length)
             self._done(start)
-        whole = self._chunked()
-        if whole is None:
+            expected = headers.get(b"expect")
+            if expected is not None and minor == b"1":  # RFC 9110, section 10.1.1
+                if expected.lower() != b"100-continue":
+                    raise Malformed(417, "unknown expectation")
+                self.expects = not self._data
+        found = self._gathered()
+        if found is None:
             return None
-        (method, target, minor, headers), self._start = self._start, None
-        return Request(method, target, headers, whole, _keep_alive(minor, headers))
+        self.expects = False
+        (method, target, minor, headers, length), self._start = self._start, None
+        keep = _keep_alive(minor, headers)
+        return Request(method, target, headers, found[0], keep, found[1], minor, length)
 
     def next_response(self, ended: bool = False) -> Response | None:
         """The next answer; `ended` says that the connection has closed, which ends a body with no length."""
-        if ended:
-            self._need = 0
         while True:
-            if self._chunks is not None:
-                whole = self._chunked()
-                if whole is None:
+            if self._body is not None:
+                if ended and type(self._body) is BodyUntilClose:
+                    self._body.whole = True
+                found = self._gathered()
+                if found is None:
                     return None
-                (status, headers, keep_alive), self._start = self._start, None
+                (status, headers, keep_alive, length), self._start = self._start, None
                 self._interim = 0
-                return Response(status, headers, whole, keep_alive)
+                return Response(status, headers, found[0], keep_alive, found[1], length)
             head = self._head()
             if head is None:
                 return None
@@ -239,30 +300,23 @@
                 self._done(start)
                 continue
             keep_alive = _keep_alive(match[1], headers)
-            length = 0 if status in (204, 304) else _length(headers)
+            length = 0 if status in (204, 304) else _length(headers, self._most)
             if b"transfer-encoding" in headers:
                 if headers[b"transfer-encoding"].lower() != b"chunked" or b"content-length" in headers:
                     raise Malformed(400, "unknown framing")
-                self._chunks = ChunkedBody(self._pool, MOST_BODY, strict=False)
-                self._start = (status, headers, keep_alive)
-                self._done(start)
-                continue
+                length, self._body = None, ChunkedBody(self._pool, self._most, strict=False)
             elif length is None:
-                if len(self._data) - start > MOST_BODY:
-                    raise Malformed(413, "body too large")
-                if not ended:
-                    self._wait(self.waiting + 1)
-                    return None
-                body, end, keep_alive = self._data[start:], len(self._data), False
+                keep_alive, self._body = False, BodyUntilClose(self._pool, self._most)
             else:
                 end = start + length
-                if len(self._data) < end:
-                    self._wait(end)
-                    return None
-                body = self._data[start:end]
-            self._done(end)
-            self._interim = 0
-            return Response(status, headers, body, keep_alive)
+                if len(self._data) >= end:
+                    body = self._data[start:end]
+                    self._done(end)
+                    self._interim = 0
+                    return Response(status, headers, body, keep_alive, False, length)
+                self._body = BodyWithLength(self._pool, length)
+            self._start = (status, headers, keep_alive, length)
+            self._done(start)
 
 
 def write_request(method: bytes, target: bytes, lines: bytes, body: bytes = b"") -> bytes:
@@ -277,3 +331,21 @@
         lines += b"Connection: close\r\n"
     start = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, REASONS.get(status, b""), len(body))
     return b"%b%b\r\n%b" % (start, lines, body)
+
+
+def write_head(status: int, lines: bytes, length: int | None, chunks: bool, close: bool) -> bytes:
+    """The head of an answer whose body follows: with its length, in chunks, or until the close."""
+    if length is not None:
+        lines += b"Content-Length: %d\r\n" % length
+    elif chunks:
+        lines += b"Transfer-Encoding: chunked\r\n"
+    if close:
+        lines += b"Connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\n%b\r\n" % (status, REASONS.get(status, b""), lines)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def write_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/mapleline/http1/server.py
+++ b/mapleline/http1/server.py
@@ -8,10 +8,22 @@
 from ..policy.interface import Arrival, Effect, Start
 from ..telemetry import invariant
 from .buffers import BufferPool
-from .messages import MOST_BODY, MOST_HEAD, TOKEN, Malformed, MessageReader, Request, write_response
+from .messages import (
+    LAST_CHUNK,
+    MOST_HEAD,
+    MOST_WHOLE,
+    TOKEN,
+    Malformed,
+    MessageReader,
+    Request,
+    write_chunk,
+    write_head,
+    write_response,
+)
+from .upload import Upload
 
 READY_PATH = b"/health/ready"
-MOST_WAITING = MOST_HEAD + MOST_BODY + 4  # bytes taken in before reading stops: one message, whole
+MOST_WAITING = MOST_HEAD + MOST_WHOLE + 4  # bytes taken in before reading stops: one message, whole
 CUSTOMERS_END = 1 << 33
 MOST_TIMEOUT_MS = 3_600_000
 
@@ -24,15 +36,19 @@
 class ServerConnection:
     """One request at a time: what comes behind it waits until it is answered."""
 
-    __slots__ = ("_reader", "busy", "closing")
+    __slots__ = ("_by_close", "_chunks", "_old", "_reader", "busy", "closing")
 
-    def __init__(self, pool: BufferPool) -> None:
-        self._reader = MessageReader(pool)
+    def __init__(self, pool: BufferPool, gather: int = 0) -> None:
+        """With `gather`, larger bodies are passed on as they come: see `MessageReader`."""
+        self._reader = MessageReader(pool, gather)
         self.busy = False  #: a request is in hand
         self.closing = False  #: nothing more is read, and the next answer is the last
+        self._old = False  # the request in hand is HTTP/1.0
+        self._by_close = False  # the answer in hand has no other end
+        self._chunks = False  # the answer in hand goes in chunks
 
     def receive(self, data: bytes) -> None:
-        if not self.closing:
+        if not self.closing or self._reader.passing:
             self._reader.feed(data)
 
     def clear(self) -> None:
@@ -45,6 +61,22 @@
         """A request has begun to come in and is not whole."""
         return not self.busy and self._reader.waiting > 0
 
+    @property
+    def passing(self) -> bool:
+        """The body of the request in hand is still coming."""
+        return self._reader.passing
+
+    @property
+    def body_size(self) -> int:
+        """Bytes so far of a body that is coming."""
+        return self._reader.body_size
+
+    @property
+    def expects(self) -> bool:
+        """The client waits for a 100; said once."""
+        expects, self._reader.expects = self._reader.expects, False
+        return expects
+
     @property
     def full(self) -> bool:
         """What waits will not fit into one message: it is not to be read on before there is an answer."""
@@ -53,6 +85,7 @@
     def next_request(self) -> Request | None:
         if self.busy or self.closing:
             return None
+        self._old = False  # of what cannot be read
         try:
             request = self._reader.next_request()
         except Malformed:
@@ -61,16 +94,58 @@
             raise
         if request is not None:
             self.busy = True
+            self._old = request.minor == b"0"
             if not request.keep_alive:
-                self.clear()
+                if request.more:
+                    self.closing = True
+                else:
+                    self.clear()
         return request
 
+    def next_part(self) -> bytes:
+        """More of the body of the request in hand.  Raises Malformed, after which nothing is read."""
+        try:
+            return self._reader.next_part()
+        except Malformed:
+            self.clear()
+            raise
+
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> bytes:
         """The bytes of the one answer to the request in hand."""
         invariant(self.busy, "answer.without_request")
         self.busy = False
+        if self._reader.passing:
+            self.clear()  # nobody wants the rest, and the next request could only lie behind it
+        if self._old and not self.closing:
+            lines += b"Connection: keep-alive\r\n"
         return write_response(status, body, lines, self.closing)
 
+    def begin(self, status: int, lines: bytes, length: int | None) -> bytes:
+        """The head of an answer that follows in parts."""
+        invariant(self.busy, "answer.without_request")
+        if self._reader.passing:
+            self.clear()
+        self._chunks = length is None and not self._old
+        self._by_close = length is None and self._old
+        if self._by_close:
+            self.closing = True
+        elif self._old and not self.closing:
+            lines += b"Connection: keep-alive\r\n"
+        return write_head(status, lines, length, self._chunks, self.closing)
+
+    @property
+    def ends_by_close(self) -> bool:
+        """Of the answer in hand: an orderly end of the connection says that it is whole."""
+        return self._by_close
+
+    def part(self, data: bytes) -> bytes:
+        return write_chunk(data) if self._chunks else data
+
+    def end(self) -> bytes:
+        """What ends the answer: the connection may be used again."""
+        self.busy = False
+        return LAST_CHUNK if self._chunks else b""
+
 
 @dataclass(slots=True)
 class Wish:
@@ -80,6 +155,7 @@
     arrival: Arrival
     request: Request
     lines: bytes  #: the header lines that pass through
+    upload: Upload | None = None  #: the rest of a body that is still coming
 
 
 class Translator:
@@ -125,7 +201,8 @@
             raise Malformed(400, "bad X-Weight")
         ttl = min(int(timeout) * 1_000_000, start.classes[cls].deadline_ns)
         arrival = Arrival(
-            0, cls, plan, int(customer, 16), ttl, units, spread, at, headers.get(b"x-retried") == b"1"
+            0, cls, plan, int(customer, 16), ttl, units, spread, at, headers.get(b"x-retried") == b"1",
+            request.more,
         )
         lines = b"X-Request-ID: %b\r\n" % request_id
         if key:
--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -15,6 +15,7 @@
 
 from .engine import Engine
 from .http1.buffers import BufferPool
+from .http1.messages import MOST_WHOLE
 from .http1.server import Translator
 from .lifecycle import Lifecycle, Phase
 from .net.alarm import ReactorAlarm, unix_clock
@@ -47,6 +48,10 @@
     "name": "name", "listen": "listen", "management": "management", "limits.sockets": "sockets",
     "settings": "start",
 }  # fmt: skip
+OWN_MEMORY = 28e6  # bytes: what the program needs without any body, and a little (24 MB measured)
+BODIES_SHARE = 1 / 3  # of the rest: all that waits to be whole; what is whole is copied once more
+BODIES_LEAST = 1e6  # bytes
+BODY_SHARE = 1 / 16  # of that: one request's body, before it goes on as it comes
 GC_THRESHOLD = 20_000  # objects; a request leaves no cycles, so a pause seldom finds anything
 
 
@@ -63,7 +68,9 @@
         self.life = Lifecycle(shared=config.accept_fd is not None)
         if self.life.shared:
             lanes //= 2  # the other process has as many
-        buffers = self.buffers = BufferPool()
+        memory = config.memory // (2 if self.life.shared else 1)  # the other process needs as much
+        for_bodies = int(max(BODIES_LEAST, (memory - OWN_MEMORY) * BODIES_SHARE))
+        buffers = self.buffers = BufferPool(most=for_bodies)
         self.engine = Engine(brain or Brain(start), clock)
         self.engine.alarm = ReactorAlarm(reactor, clock, self.engine.wake)
         for_door = DOOR_DESCRIPTORS if config.management else 0
@@ -81,6 +88,7 @@
         self.front = Front(
             reactor, self.engine, translator, buffers, for_clients, config.open_cap,
             start.max_retry_after_ns, self.life,
+            max(MOST_WHOLE, int(for_bodies * BODY_SHARE)),
         )  # fmt: skip
         self.fault: ConfigError | None = None  #: why it could not start
         self.door = Door(reactor, self.life, buffers, self._held)
--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -16,16 +16,23 @@
 
 from ..engine import Engine, Open
 from ..http1.buffers import BufferPool
-from ..http1.messages import Malformed, Request, Response, write_response
+from ..http1.messages import MOST_BODY, Malformed, Request, Response, write_response
 from ..http1.server import READY_PATH, ServerConnection, Translator
+from ..http1.upload import Upload
 from ..lifecycle import Lifecycle
 from ..telemetry import COUNTS, log
 from .streams import Stream
 
 SWEEP_S = 0.25
-FIRST_S = 2.0  # from connecting to the last byte of the first request, and for any later one to come in whole
-CROWDED_S = 0.5  # the same while there is no room for others
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# From connecting to the end of the first head, or from a later one's first byte: a client may take 2 s for
+# it, and who sends nothing worth waiting for is owed an end within 3 s of connecting.
+HEAD_S = 2.4
+BODY_PER_S = 32 * 1024  # a body has as much longer as it would need at this rate: half of what clients may do
+CROWDED_S = 0.5  # for who has sent nothing, while there is no room for others
+PAUSED_S = 1.0  # then, for who has begun and sends no more
 LINGER_S = 1.0  # for a client to read why it was turned down and to close
+LINGER_MOST_S = 6.0  # while it still sends what nobody wants any more
 SLOW_S = 10.0  # for an answer to be taken
 IDLE_S = 60.0  # between requests
 MOST_DISCARDED = 256 * 1024  # bytes read behind an answer that is the last; what is left then goes unread
@@ -38,13 +45,16 @@
 
     def __init__(self, front: Front) -> None:
         self.front = front
-        self.machine = ServerConnection(front.pool)
+        self.machine = ServerConnection(front.pool, front.gather)
         self.open: Open | None = None
         self.id = b""  #: of the request in hand
         self.asked = False  #: a whole request has come
         self.since = front.reactor.seconds()  #: of the last change of what it waits for
+        self.heard = self.since  #: when it last sent anything
         self.reading = True
-        self.discarded = 0
+        self.upload: Upload | None = None  #: takes the rest of the request in hand
+        self.source: Any = None  #: gives the rest of the answer in hand
+        self.discarded, self.discards = 0, MOST_DISCARDED
         self.recent = 0.0  #: requests taken, the older ones weighing less; see `Front.fade`
 
     def connectionMade(self) -> None:
@@ -53,32 +63,76 @@
 
     def dataReceived(self, data: bytes) -> None:
         machine = self.machine
+        self.heard = self.front.reactor.seconds()
+        if self.upload is not None:
+            return self._more(data)
         if machine.closing:
             # It is read for a while, since closing with bytes unread may cost the client its answer; who has
             # 60 MB more to send is not waited for.
             self.discarded += len(data)
-            if self.discarded > MOST_DISCARDED and self.reading:
-                self.reading = False
-                self.transport.pauseProducing()
+            if self.discarded > self.discards:
+                self._pause()
             return
         if self.asked and not machine.partial:
             self.front.touch(self)  # who has not asked yet has its time from connecting
         machine.receive(data)
         if machine.busy or not self.flushed:
-            if machine.full and self.reading:
+            if machine.full:
                 # A client that writes on and on, behind a request in hand or an answer that it does not take,
                 # must not fill memory.
-                self.reading = False
-                self.transport.pauseProducing()
+                self._pause()
             return
         self._next()
 
+    def _pause(self) -> None:
+        if self.reading:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def _read_on(self) -> None:
+        if not self.reading and self.connected:
+            self.reading = True
+            self.heard = self.front.reactor.seconds()
+            self.transport.resumeProducing()
+
+    def _more(self, data: bytes) -> None:
+        """More of a body that goes on as it comes."""
+        machine, upload, opened = self.machine, self.upload, self.open
+        machine.receive(data)
+        try:
+            part = machine.next_part()
+        except Malformed as err:
+            COUNTS["client.bad_request"] += 1
+            return self._give_up(err.status, err.why)
+        if machine.passing:
+            upload.put(part, False)
+            if not upload.room:
+                self._pause()
+            return
+        self.upload = None
+        upload.put(part, True)
+        if opened is not None:
+            self.front.engine.whole(opened, opened.wish.arrival.ttl_ns)
+
+    def _give_up(self, status: int, why: str) -> None:
+        """The rest of the request in hand is not to be had."""
+        opened = self.open
+        self.answer(status, why.encode() + b"\n", last=True)
+        if opened is not None:
+            self.front.engine.left(opened)
+
+    def _spent(self) -> None:
+        if self.open is not None:
+            self.open.spent = True
+
     def _next(self) -> None:
         # Never before the last answer is out: a slow reader holds one answer and no more.
         while self.flushed and not self.machine.busy:
             try:
                 request = self.machine.next_request()
                 if request is None:
+                    if self.machine.expects:
+                        self.send(CONTINUE)
                     break
                 self.asked = True
                 self._take(request)
@@ -86,9 +140,9 @@
                 COUNTS["client.bad_request"] += 1
                 COUNTS[f"client.bad_request.{err.status}"] += 1
                 self.answer(err.status, err.why.encode() + b"\n", last=self.machine.closing)
-        if not self.reading and not self.machine.full and self.flushed and not self.machine.closing:
-            self.reading = True
-            self.transport.resumeProducing()
+        machine = self.machine
+        if not self.reading and not (machine.full or machine.closing or machine.passing) and self.flushed:
+            self._read_on()
 
     def _take(self, request: Request) -> None:
         if request.target == READY_PATH and request.method == b"GET":
@@ -102,22 +156,34 @@
             raise Malformed(409, "the id of an open request")
         self.id = wish.id
         self.recent += 1
+        if request.more:
+            self.upload = wish.upload = Upload(request.length, self._read_on, self._spent)
+            self._pause()  # until an attempt takes what there is
         opened = self.front.engine.arrive(wish.arrival, wish, self)
         if not opened.answered:
             self.open = opened
 
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"", last: bool = False) -> None:
-        self.open = None
+        self.open = self.upload = None
         self._forget_id()
         if not self.connected:
             return
         if self.front.life.last:
             self.machine.closing = True
+        if self.machine.passing:
+            # What is still to come is no request; a client may read its answer only once it has sent that.
+            self.machine.closing = last = True
+            self.discards = MOST_BODY
         self.send(self.machine.answer(status, body, lines))
+        self._rest(last)
+
+    def _rest(self, last: bool) -> None:
+        """The answer is out: what becomes of the connection."""
         self.front.touch(self)
         if last:
             # Closing with bytes unread resets the connection, and the client may never see why.
             self.transport.loseWriteConnection()
+            self._read_on()
         elif self.machine.closing:
             self.transport.loseConnection()
         elif self.front.wanted:
@@ -142,6 +208,39 @@
         kind = answer.headers.get(b"content-type")
         self.answer(200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"")
 
+    def begun(self, answer: Response, source: Any) -> None:
+        """The answer goes out as it comes: `part`s, then `ended`.  `source` is paused and resumed."""
+        if not self.connected:
+            return
+        if self.front.life.last:
+            self.machine.closing = True
+        self.source = source
+        self.front.touch(self)
+        kind = answer.headers.get(b"content-type")
+        lines = b"Content-Type: %b\r\n" % kind if kind else b""
+        self.send(self.machine.begin(200, lines, answer.length))
+
+    def part(self, data: bytes) -> None:
+        self.send(self.machine.part(data))
+        if not self.flushed and self.source is not None:
+            self.source.pause()
+
+    def ended(self, whole: bool) -> None:
+        """The last part has come; or no more will come, and the client is to see that."""
+        self.open = self.source = None
+        self._forget_id()
+        if not self.connected:
+            return
+        if whole:
+            if end := self.machine.end():
+                self.send(end)
+            return self._rest(False)
+        self.machine.closing = True
+        if self.machine.ends_by_close:
+            self.transport.abortConnection()  # an orderly end would say that it is whole
+        else:
+            self.transport.loseConnection()  # what came still goes out
+
     def refused(self, retry_in_ns: int, over_quota: bool) -> None:
         lines = b"Retry-After: %.3f\r\n" % (retry_in_ns / 1e9) if retry_in_ns > 0 else b""
         self.answer(429 if over_quota else 503, lines=lines)
@@ -153,13 +252,16 @@
 
     def on_flushed(self) -> None:
         self.front.touch(self)
-        if not self.machine.closing:
+        if self.source is not None:
+            self.source.resume()
+        elif not self.machine.closing:
             self._next()
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self._forget_id()
         self.machine.clear()
+        self.upload = self.source = None
         self.front.parted(self)
         if self.open is not None:
             opened, self.open = self.open, None
@@ -216,10 +318,12 @@
 
     def __init__(
         self, reactor: Any, engine: Engine, translator: Translator, pool: BufferPool, most: int,
-        open_cap: int, retry_ns: int, life: Lifecycle,
+        open_cap: int, retry_ns: int, life: Lifecycle, gather: int,
     ) -> None:  # fmt: skip
+        """At most `most` connections and `open_cap` requests; a body of up to `gather` bytes is taken in
+        before its request arrives."""
         self.reactor, self.engine, self.translator, self.pool = reactor, engine, translator, pool
-        self.life = life
+        self.life, self.gather = life, gather
         self.most, self.open_cap, self.retry_ns = most, open_cap, retry_ns
         self.streams: OrderedDict[ClientStream, None] = OrderedDict()  # in the order of `since`
         self.ids = OpenIds()  #: of the requests in hand
@@ -295,27 +399,30 @@
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_S, self._sweep)
         now = self.reactor.seconds()
-        first_s = FIRST_S if self._accepting else CROWDED_S
+        crowded = not self._accepting
         if self.life.sheds(now):
             self.shed()
         waiting = list(takewhile(lambda s: now - s.since >= CROWDED_S, self.streams))
         for stream in waiting:
             waited = now - stream.since
-            if stream.machine.busy:
-                continue
             if not stream.flushed:
                 if waited >= SLOW_S:
                     COUNTS["client.slow_reader"] += 1
                     stream.transport.abortConnection()
+            elif stream.machine.busy:
+                if stream.upload is not None and stream.reading and now - stream.heard >= HEAD_S:
+                    COUNTS["client.slow_writer"] += 1
+                    stream._give_up(408, "the body stands still")
             elif stream.machine.closing:
-                if waited >= LINGER_S:
+                if waited >= LINGER_S and now - stream.heard >= LINGER_S or waited >= LINGER_MOST_S:
                     stream.transport.abortConnection()
             elif stream.machine.partial:
-                if waited >= first_s:
+                given_s = HEAD_S + stream.machine.body_size / BODY_PER_S
+                if waited >= given_s or crowded and now - stream.heard >= PAUSED_S:
                     COUNTS["client.slow_writer"] += 1
                     stream.send(write_response(408, close=True))
                     stream.close()
-            elif waited >= (IDLE_S if stream.asked else first_s):
+            elif waited >= (IDLE_S if stream.asked else CROWDED_S if crowded else HEAD_S):
                 COUNTS["client.idle" if stream.asked else "client.silent"] += 1
                 stream.close()
 
@@ -368,7 +475,8 @@
         """
         coming = self.life.shared
         return any(
-            not s.flushed or half_in and (s.machine.partial or coming and not s.asked) for s in self.streams
+            not s.flushed or s.machine.busy or half_in and (s.machine.partial or coming and not s.asked)
+            for s in self.streams
         )
 
     def shed(self) -> None:
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -12,15 +12,18 @@
 from twisted.python.failure import Failure
 
 from ..engine import Attempt, Engine
-from ..http1.buffers import BufferPool
+from ..http1.buffers import BUFFER_SIZE, BufferPool
 from ..http1.client import ClientConnection
-from ..http1.messages import Response, write_request
+from ..http1.messages import MOST_WHOLE, Response, write_chunk, write_request
+from ..http1.upload import Upload
 from ..policy.interface import Result
 from ..settings.platform import Address
 from ..telemetry import COUNTS
 from .streams import Stream
 
 SWEEP_S = 1.0
+STILL_S = 10.0  # without a byte of an answer that has begun
+RELAY_READ = 64 * 1024  # bytes of one read of such an answer
 IDLE_SHARE = 0.8  # of the settings' idle limit: what is written after the other side closed ends as a reset
 
 
@@ -38,34 +41,124 @@
 
     def __init__(self, server: UpstreamServer) -> None:
         self.server = server
-        self.machine = ClientConnection(server.pool.buffers)
+        self.machine = ClientConnection(server.pool.buffers, MOST_WHOLE)
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
+        self.upload: Upload | None = None  #: the rest of the request
+        self.sink: Any = None  #: takes the answer that is being passed on
+        self.heard = 0.0  #: when the last part of it came, or could be taken
+        self.reading = True
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         self.attempt = attempt
         attempt.carrier = self
         self.machine.called(attempt)
+        self.upload = attempt.wish.upload
         self.send(data)
+        if self.upload is not None:
+            self.upload.attach(self, self._uploaded)
+
+    def _uploaded(self) -> None:
+        """The last byte has gone out: the server begins now."""
+        self.upload = None
+        if self.attempt is not None:
+            self.attempt.sent_ns = self.server.pool.clock()
+
+    def on_flushed(self) -> None:
+        if self.upload is not None:
+            self.upload.flushed()
+
+    @property
+    def written(self) -> bool:
+        """The kernel has every byte of the request."""
+        return self.flushed and self.upload is None
+
+    def _end_attempt(self) -> Attempt | None:
+        attempt, self.attempt = self.attempt, None
+        if self.upload is not None:
+            self.upload.detach(self)
+        return attempt
+
+    def _begin(self, response: Response) -> None:
+        """An answer that is passed on as it comes."""
+        attempt, pool = self.attempt, self.server.pool
+        result = judge(response)
+        if result == Result.OK and attempt is not None and self.written:
+            self.sink = attempt.open.answerer
+            if pool.engine.attempt_begun(attempt, response, self):
+                pool.relays[self] = None
+                self.transport.bufferSize = RELAY_READ
+                self.heard = pool.reactor.seconds()
+                return self.sink.part(response.body)
+            self.sink, result = None, Result.CANCELLED
+        self._end_attempt()
+        self.transport.abortConnection()
+        if attempt is not None:
+            pool.engine.attempt_ended(attempt, Result.ERROR if result == Result.OK else result, response)
+
+    def _pass_on(self, data: bytes) -> None:
+        pool, sink = self.server.pool, self.sink
+        self.heard = pool.reactor.seconds()
+        part = self.machine.pass_on(data)
+        if part:
+            sink.part(part)
+        if self.machine.passing or self.sink is None:
+            return  # more is to come, or nobody takes it any more
+        cut = self.machine.cut
+        if self.machine.spoilt:
+            COUNTS["upstream.malformed" if cut else "upstream.surplus"] += 1
+        self._passed(not cut, Result.ERROR)
+
+    def _passed(self, whole: bool, otherwise: Result) -> None:
+        """The answer has ended, as it should or not."""
+        pool, sink, attempt = self.server.pool, self.sink, self._end_attempt()
+        self.sink = None
+        pool.relays.pop(self, None)
+        COUNTS["upstream.relayed" if whole else "upstream.broke_off"] += 1
+        if self.connected:
+            self.transport.bufferSize = BUFFER_SIZE
+            if whole and self.machine.reusable:
+                self.server.rest(self)
+            else:
+                self.transport.abortConnection()
+        sink.ended(whole)
+        if attempt is not None:
+            pool.engine.attempt_ended(attempt, Result.OK if whole else otherwise)
+
+    def pause(self) -> None:
+        """Whoever takes the answer has enough for now."""
+        if self.reading and self.connected:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        self.heard = self.server.pool.reactor.seconds()
+        if not self.reading and self.connected:
+            self.reading = True
+            self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:
+        if self.sink is not None:
+            return self._pass_on(data)
         answers = self.machine.receive(data)
         if self.machine.spoilt:
             COUNTS["upstream.surplus" if answers or self.attempt is None else "upstream.malformed"] += 1
         if answers:
-            return self._answered(answers[0][1])
+            response = answers[0][1]
+            return self._begin(response) if response.more else self._answered(response)
         if not self.machine.reusable:
             # The attempt may have run, and nothing more will come of it: it ends now.
-            attempt, self.attempt = self.attempt, None
+            attempt = self._end_attempt()
             self.server.forget(self)
             self.transport.abortConnection()
             if attempt is not None:
                 self.server.pool.engine.attempt_ended(attempt, Result.ERROR)
 
     def _answered(self, response: Response) -> None:
-        attempt, self.attempt = self.attempt, None
+        reusable = self.machine.reusable and self.written and self.connected
+        attempt = self._end_attempt()
         # An answer before the whole request went out leaves the connection in an unknown state.
-        if self.machine.reusable and self.flushed and self.connected:
+        if reusable:
             self.server.rest(self)
         else:
             self.transport.abortConnection()  # whatever else the other side may have to say
@@ -86,18 +179,22 @@
 
     def drop(self) -> None:
         """Give up the attempt that is out, or an idle connection."""
-        self.attempt = None
+        self._end_attempt()
+        self.sink = None
+        self.server.pool.relays.pop(self, None)
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self.server.lost(self)
-        for _, response in self.machine.ended(reason.check(ConnectionDone) is not None):
+        if self.sink is not None:
+            return self._passed(self.machine.ended_passing(_clean(reason)), Result.RESET)
+        for _, response in self.machine.ended(_clean(reason)):
             return self._answered(response)
-        attempt, self.attempt = self.attempt, None
+        written, attempt = self.written, self._end_attempt()
         if attempt is not None:
             # Never ran only if its last byte was never written.
-            result = Result.RESET if self.flushed else Result.NO_CONNECTION
+            result = Result.RESET if written else Result.NO_CONNECTION
             self.server.pool.engine.attempt_ended(attempt, result)
 
 
@@ -159,8 +256,19 @@
             return self._veto(attempt)
         wish, request = attempt.wish, attempt.wish.request
         left = attempt.open.deadline_ns - self.pool.clock()
+        if request.more:
+            left = wish.arrival.ttl_ns
         lines = b"%b%bX-Timeout-Ms: %d\r\n" % (self.host_line, wish.lines, max(1, left // 1_000_000))
-        stream.start(attempt, write_request(request.method, request.target, lines, request.body))
+        if not request.more:
+            data = write_request(request.method, request.target, lines, request.body)
+        elif wish.upload.length is not None:
+            lines += b"Content-Length: %d\r\n" % wish.upload.length
+            data = b"%b %b HTTP/1.1\r\n%b\r\n%b" % (request.method, request.target, lines, request.body)
+        else:
+            lines += b"Transfer-Encoding: chunked\r\n"
+            first = write_chunk(request.body)
+            data = b"%b %b HTTP/1.1\r\n%b\r\n%b" % (request.method, request.target, lines, first)
+        stream.start(attempt, data)
 
     def rest(self, stream: UpstreamStream) -> None:
         if self.retired:
@@ -198,6 +306,7 @@
         self.reactor, self.engine, self.clock, self.buffers = reactor, engine, clock, buffers
         self.dial_timeout_s, self.idle_s, self.most = dial_timeout_s, idle_s * IDLE_SHARE, most
         self.servers: dict[int, UpstreamServer] = {}
+        self.relays: dict[UpstreamStream, None] = {}  #: answers that are being passed on
         self.held = 0  #: connections up or on their way
         self.vetoed: Callable[[int], object] = lambda server: False  #: nothing new may go to this server
         reactor.callLater(SWEEP_S, self._sweep)
@@ -247,6 +356,15 @@
         before = self.reactor.seconds() - self.idle_s
         for server in self.servers.values():
             server.retire(before)
+        still = self.reactor.seconds() - STILL_S
+        for stream in [s for s in self.relays if s.reading and s.heard < still]:
+            COUNTS["upstream.stood_still"] += 1
+            stream.transport.abortConnection()
+
+
+def _clean(reason: Failure) -> bool:
+    """The other side has ended the connection in order."""
+    return reason.check(ConnectionDone) is not None
 
 
 def _idle_since(stream: UpstreamStream) -> float:
--- a/mapleline/policy/brain.py
+++ b/mapleline/policy/brain.py
@@ -70,7 +70,8 @@
         self.keep = NAME_LIFE_NS + max(refills, default=0.0)  # after that nothing of a customer is held
         self.on = {i.Arrival: self.on_arrival, i.Outcome: self.on_outcome, i.Timer: self.on_timer,
                    i.Counted: self.on_counted, i.ServerNews: self.on_news, i.Left: self.on_left,
-                   i.Begun: self.on_left, i.Probed: lambda ev: None, i.Told: self.on_told}
+                   i.Begun: self.on_left, i.Probed: lambda ev: None, i.Told: self.on_told,
+                   i.Whole: self.on_whole}
 
     def handle(self, now_ns: int, event: i.Event) -> list[i.Action]:
         """Take one event, return the actions in order."""
@@ -264,7 +265,7 @@
         c = Customer(ev.plan, max(1, min(ev.spread, s.gateways)), key=ev.customer)
         c = self.customers.setdefault(ev.customer, c)
         c.seen_at = self.now
-        r = self.requests[ev.request] = Request(ev, cls, plan, c)
+        r = self.requests[ev.request] = Request(ev, cls, plan, c, at=self.now)
         spent = 0  # a marked later try with another patience than first ones has what is left of the deadline
         if not ev.repeat:
             self.first_ttl[ev.cls] = ev.ttl_ns
@@ -274,7 +275,8 @@
         r.end = self.now + max(0, min(ev.ttl_ns, useful) - 3 * s.tick_ns)  # later no answer can earn
         if cls.late_worth <= 0 and useful < self.usual[ev.cls]:
             return self.finish(r)
-        self.timer(r.end - self.now, GUARD, ev.request)
+        if not ev.coming:
+            self.timer(r.end - self.now, GUARD, ev.request)
         if self.out >= int(self.room + self.rng.random()):  # a lot for the odd part: right over many gateways
             self.finish(r, s.max_retry_after_ns)
         elif plan.rate > 0 and plan.burst > 0:
@@ -282,6 +284,16 @@
         else:
             self.dispatch(r) if self.open_room(r) or self.extra(r) else self.finish(r)
 
+    def on_whole(self, ev: i.Whole) -> None:
+        """The body that was coming is whole: from now on the request's time counts, and the server's."""
+        r = self.requests.get(ev.request)
+        if r is not None and not r.stream:
+            r.end += self.now - r.at
+            self.timer(r.end - self.now, GUARD, ev.request)
+            for n, sid in r.live.items():
+                if sid in self.servers and self.servers[sid].out.pop((ev.request, n), None):
+                    self.servers[sid].out[(ev.request, n)] = (self.now, self.usual[r.ev.cls])
+
     def dispatch(self, r: Request) -> None:
         """Send to the best server; with none to be had it ends here, with time to spare."""
         best = self.pick(r)
--- a/mapleline/policy/interface.py
+++ b/mapleline/policy/interface.py
@@ -164,6 +164,14 @@
     spread: int = 1
     first: int = 0
     repeat: bool = False
+    coming: bool = False  #: its body is still coming in: `ttl_ns` counts from the Whole event
+
+
+@dataclass(slots=True)
+class Whole:
+    """The last byte of a request that was coming has come: its time counts from now."""
+
+    request: int
 
 
 @dataclass(slots=True)
@@ -239,7 +247,7 @@
     data: bytes
 
 
-Event = Arrival | Left | Begun | Outcome | Timer | ServerNews | Probed | Counted | Told
+Event = Arrival | Whole | Left | Begun | Outcome | Timer | ServerNews | Probed | Counted | Told
 
 
 @dataclass(slots=True)
--- a/mapleline/policy/state.py
+++ b/mapleline/policy/state.py
@@ -79,6 +79,7 @@
     plan: Plan
     who: Customer
     end: int = 0  #: after this no answer can earn
+    at: int = 0  #: when it arrived
     live: dict[int, int] = field(default_factory=dict)  #: server by attempt number
     sent: int = 0
     first_sent: int = 0
--- a/mapleline/settings/platform.py
+++ b/mapleline/settings/platform.py
@@ -234,6 +234,7 @@
     conn_idle_s: float
     open_cap: int
     management: Address | None = None  #: the operators' door, where there is one
+    memory: int = 192_000_000  #: bytes
     accept_fd: int | None = None  #: of an inherited listening socket, used in place of `listen`
 
 
@@ -297,6 +298,7 @@
         kind_names=settings.names("kinds"),
         known=top.raw.get("known") or {"rev": 0, "all": True, "targets": []},
         sockets=top.section("limits").whole("sockets", 1024, 128),
+        memory=int(top.section("limits").number("memory_mb", 192, 16) * 1e6),
         dial_timeout_s=limits.whole("dial_timeout_ns", 250_000_000, 1) / 1e9,
         conn_idle_s=limits.whole("conn_idle_ns", 30_000_000_000, 1) / 1e9,
         open_cap=limits.whole("open_cap", 30_000, 1),
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -83,7 +83,10 @@
                     reply = self.answer(*what)
                     if reply == "close":
                         return
-                    sock.sendall(reply or b"")
+                    last = isinstance(reply, tuple)  # the last words, and "close"
+                    sock.sendall(reply[0] if last else reply or b"")
+                    if last:
+                        return
             except OSError:
                 pass
             self.ended.put(True)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -56,14 +56,17 @@
     def served(self, answer):
         self.notes.append(("served", answer))
 
+    def begun(self, answer, source):
+        self.notes.append(("begun", answer, source))
+
     def refused(self, retry_in_ns, over_quota):
         self.notes.append(("refused", retry_in_ns, over_quota))
 
     def failed(self, overdue):
         self.notes.append(("failed", overdue))
 
-    def arrive(self, cls=0):
-        return self.engine.arrive(i.Arrival(0, cls, 0, 5, 2 * S), "wish", self)
+    def arrive(self, cls=0, coming=False):
+        return self.engine.arrive(i.Arrival(0, cls, 0, 5, 2 * S, coming=coming), "wish", self)
 
     def at(self, after):
         self.now += after
@@ -209,3 +212,58 @@
     told = [(ev.name, ev.result, ev.total, ev.took_ns) for ev in rig.module.told if type(ev) is i.Counted]
     assert told == [(0, R.OK, 5.0, 0), (1, R.TIMEOUT, 0.0, MS), (1, R.OK, 9.0, 0)]
     assert len(rig.engine._calls) == 1  # the one still out; names that are done with leave nothing behind
+
+
+def test_an_answer_that_has_begun_is_final_and_no_deadline_cuts_it_off():
+    rig = Rig()
+    rig.arrive()
+    (attempt,) = rig.attempts
+    rig.now += 100 * MS
+    assert rig.engine.attempt_begun(attempt, "head", "source")
+    assert not rig.engine.requests and rig.module.kinds() == [i.Arrival, i.Begun]
+    rig.at(9 * S)
+    assert rig.notes == [("begun", "head", "source")]
+    rig.engine.attempt_ended(attempt, R.OK)
+    (end,) = [event for event in rig.module.told if type(event) is i.Outcome]
+    assert end.final and end.took_ns == 100 * MS  # the server is judged by its first byte
+    assert rig.notes == [("begun", "head", "source")]
+    assert not rig.engine.attempt_begun(attempt, "head", "source")
+
+
+def test_a_client_that_goes_amid_its_answer_calls_the_attempt_off():
+    rig = Rig()
+    opened = rig.arrive()
+    rig.engine.attempt_begun(rig.attempts[0], "head", "source")
+    rig.engine.left(opened)
+    assert rig.notes[1:] == ["cancel"] and rig.module.told[-1].result == R.CANCELLED
+    rig.engine.left(opened)
+    assert rig.notes[1:] == ["cancel"]
+
+
+def test_an_answer_nobody_waits_for_does_not_begin():
+    rig = Rig()
+    opened = rig.arrive()
+    rig.engine.left(opened)
+    assert not rig.engine.attempt_begun(rig.attempts[0], "head", "source") and rig.notes == []
+
+
+def test_a_request_that_is_coming_has_its_time_from_its_last_byte():
+    rig = Rig()
+    opened = rig.arrive(coming=True)
+    rig.at(50 * S)
+    assert rig.notes == []
+    rig.engine.whole(opened, 2 * S)
+    assert rig.module.kinds() == [i.Arrival, i.Whole]
+    rig.at(2 * S - 1)
+    assert rig.notes == []
+    rig.at(1)
+    assert rig.notes == [("failed", True), "cancel"]
+
+
+def test_what_has_gone_out_and_is_held_no_more_is_not_sent_again():
+    rig = Rig()
+    opened = rig.arrive(coming=True)
+    rig.module.then[i.Outcome] = lambda ev: [] if ev.result == R.MOOT else [i.Send(ev.request, 2)]
+    opened.spent = True
+    rig.engine.attempt_ended(rig.attempts[0], R.NO_CONNECTION)
+    assert len(rig.attempts) == 1 and rig.module.told[-1].result == R.MOOT
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,12 +6,12 @@
 
 from mapleline.http1.buffers import BUFFER_SIZE, BufferPool, Inbox
 from mapleline.http1.client import ClientConnection
-from mapleline.http1.messages import MOST_BODY, Malformed, MessageReader, write_request, write_response
+from mapleline.http1.messages import MOST_WHOLE, Malformed, MessageReader, write_request, write_response
 from mapleline.http1.server import ServerConnection
 
 HOSTED = b"Host: a\r\n"
 cuts = st.lists(st.integers(1, 40_000), max_size=30)
-bodies = st.lists(st.binary(max_size=200) | st.sampled_from([b"", b"y" * MOST_BODY]), min_size=1, max_size=4)
+bodies = st.lists(st.binary(max_size=200) | st.sampled_from([b"", b"y" * MOST_WHOLE]), min_size=1, max_size=4)
 
 
 def pieces(data, sizes):
@@ -88,7 +88,7 @@
     [
         b"SPDY/3 200 OK\r\n\r\n", b"HTTP/1.1 99\r\n\r\n", b"HTTP/1.1 200 OK\r\nA : b\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n",
-        b"HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1, 2\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", b"x" * 9000,
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
