--- a/mapleline/ingress.py
+++ b/mapleline/ingress.py
@@ -48,9 +48,9 @@
     "settings": "start",
 }  # fmt: skip
 OWN_MEMORY = 28e6  # bytes: what the program needs without any body, and a little (24 MB measured)
-BODIES_SHARE = 1 / 3  # of the rest: all that waits to be whole; what is whole is copied once more
+BODIES_SHARE = 1 / 6  # of the rest: all that waits to be whole or is held; a third and more is copies of it
 BODIES_LEAST = 1e6  # bytes
-BODY_SHARE = 1 / 16  # of that: one request's body, before it goes on as it comes
+BODY_SHARE = 1 / 8  # of that: one request's body, before it goes on as it comes
 GC_THRESHOLD = 20_000  # objects; a request leaves no cycles, so a pause seldom finds anything
 
 
--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -16,7 +16,7 @@
 
 from ..engine import Engine, Open
 from ..http1.buffers import BufferPool
-from ..http1.messages import MOST_BODY, Malformed, Request, Response, write_response
+from ..http1.messages import MOST_BODY, MOST_WHOLE, Malformed, Request, Response, write_response
 from ..http1.server import READY_PATH, ServerConnection, Translator
 from ..http1.upload import Upload
 from ..lifecycle import Lifecycle
@@ -54,6 +54,7 @@
         self.reading = True
         self.upload: Upload | None = None  #: takes the rest of the request in hand
         self.source: Any = None  #: gives the rest of the answer in hand
+        self.reserved = 0  #: bytes of the pool's bound that the request in hand takes
         self.discarded, self.discards = 0, MOST_DISCARDED
         self.recent = 0.0  #: requests taken, the older ones weighing less; see `Front.fade`
 
@@ -122,8 +123,10 @@
             self.front.engine.left(opened)
 
     def _spent(self) -> None:
-        if self.open is not None:
+        if self.open is not None and not self.open.spent:
             self.open.spent = True
+            self.open.wish.request.body = b""  # of no more use
+            self._release()
 
     def _next(self) -> None:
         # Never before the last answer is out: a slow reader holds one answer and no more.
@@ -159,13 +162,16 @@
         if request.more:
             self.upload = wish.upload = Upload(request.length, self._read_on, self._spent)
             self._pause()  # until an attempt takes what there is
+        if len(request.body) > MOST_WHOLE:
+            self.reserved = 2 * len(request.body)  # held to be sent again, and once more on its way out
+            self.front.pool.held += self.reserved
         opened = self.front.engine.arrive(wish.arrival, wish, self)
         if not opened.answered:
             self.open = opened
 
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"", last: bool = False) -> None:
         self.open = self.upload = None
-        self._forget_id()
+        self._forget()
         if not self.connected:
             return
         if self.front.life.last:
@@ -193,10 +199,16 @@
         elif self.flushed and self.machine.partial:
             self.front.reactor.callLater(0, self._next_if_connected)
 
-    def _forget_id(self) -> None:
+    def _forget(self) -> None:
+        """The request in hand is over."""
         if self.id:
             self.front.ids.release(self.id)
             self.id = b""
+        self._release()
+
+    def _release(self) -> None:
+        self.front.pool.held -= self.reserved
+        self.reserved = 0
 
     def _next_if_connected(self) -> None:
         if self.connected:
@@ -228,7 +240,7 @@
     def ended(self, whole: bool) -> None:
         """The last part has come; or no more will come, and the client is to see that."""
         self.open = self.source = None
-        self._forget_id()
+        self._forget()
         if not self.connected:
             return
         if whole:
@@ -259,7 +271,7 @@
 
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
-        self._forget_id()
+        self._forget()
         self.machine.clear()
         self.upload = self.source = None
         self.front.parted(self)
