Test time limits, drains amid bodies and the halved shares on a clock of the test's own

Hard cases of daily operation that had no test: a head of 2 s and one that stands still, a body by its rate, a body that stops on its way, a crowd, a drain with a body and an answer under way, counter connections and bodies of two processes.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,6 +16,7 @@
 from mapleline.http1.buffers import BufferPool
 from mapleline.http1.messages import MessageReader
 from mapleline.http1.server import Translator
+from mapleline.ingress import Ingress
 from mapleline.lifecycle import Lifecycle
 from mapleline.net.clients import Front
 from mapleline.net.upstream import Place, UpstreamPool
@@ -239,3 +240,111 @@
     relay.servers[0].end(BROKEN)
     assert relay.client.closed and read_whole(relay.client.taken, answer=True) is None
     assert len(relay.client.taken) > 8 * 16_000  # what came still went out
+
+
+class Clocked(Relay):
+    """With a clock that the test moves."""
+
+    now = 0.0
+
+    def seconds(self):
+        return self.now
+
+    def sweep(self, at):
+        self.now = at
+        self.client.protocol.front._sweep()
+        return self.client.closed or self.client.closing
+
+
+def test_a_head_may_take_two_seconds_and_is_ended_before_three():
+    _, coming = request(10, "length")
+    slow, still = Clocked(), Clocked()
+    for relay in (slow, still):
+        relay.client.grant(10**6)
+        relay.client.give(coming[:30])
+        assert not relay.sweep(2.2)
+    slow.client.give(coming[30:])
+    assert slow.servers and not slow.sweep(2.7)
+    assert still.sweep(2.7) and still.client.taken.startswith(b"HTTP/1.1 408")
+
+
+def test_who_connects_and_says_nothing_is_ended_before_three_seconds():
+    relay = Clocked()
+    assert not relay.sweep(2.2) and relay.sweep(2.7)
+
+
+@pytest.mark.parametrize(("per_s", "kept"), [(64_000, True), (8_000, False)])
+def test_a_body_is_given_time_by_its_progress(per_s, kept):
+    relay = Clocked()
+    _, coming = request(90_000, "length")
+    head = coming.index(b"\r\n\r\n") + 4
+    relay.client.grant(10**6)
+    relay.client.give(coming[:head])
+    at, ended = 0.0, False
+    for piece in range(head, len(coming), per_s // 8):
+        ended = ended or relay.sweep(at)
+        relay.client.give(coming[piece : piece + per_s // 8])
+        at += 0.125
+    assert ended != kept and bool(relay.servers) == kept
+
+
+def test_a_body_that_goes_on_may_not_stand_still():
+    relay = Clocked()
+    relay.module.then[i.Left] = lambda ev: [i.Cancel(ev.request, 0)]  # as the module does
+    relay.client.grant(10**6)
+    _, coming = request(400_000, "length")
+    while not relay.servers:
+        coming = relay.client.give(coming)
+    relay.servers[0].grant(10**7)
+    relay.now = 1.0
+    relay.client.give(coming)
+    assert not relay.sweep(3.2) and relay.sweep(3.6)
+    assert relay.client.taken.startswith(b"HTTP/1.1 408") and not relay.engine.requests
+    assert relay.servers[0].closed and relay.pool.held == 0
+
+
+def test_in_a_crowd_who_goes_on_writing_stays_and_who_stopped_gives_way():
+    _, coming = request(10, "length")
+    for goes_on in (False, True):
+        relay = Clocked()
+        relay.client.grant(10**6)
+        relay.client.give(coming[:20])
+        relay.client.protocol.front._accepting = False
+        assert not relay.sweep(0.9)
+        if goes_on:
+            relay.client.give(coming[20:25])
+        assert relay.sweep(1.3) != goes_on
+
+
+def test_a_drain_keeps_what_is_under_way_each_way():
+    """A body that goes on and an answer that has begun are finished; the connection goes with the answer."""
+    relay = Clocked()
+    relay.client.grant(10**7)
+    life = relay.client.protocol.front.life
+    life.listed()
+    sent, coming = request(400_000, "length")
+    while not relay.servers:
+        coming = relay.client.give(coming)
+    relay.servers[0].grant(10**7)
+    life.drain(0.0)
+    assert not relay.sweep(1.0)
+    while coming:
+        coming = relay.client.give(coming)
+    assert read_whole(relay.servers[0].taken).body == sent
+    given_body, answering = answer(400_000, "length")
+    for n in range(100):
+        answering = relay.servers[0].give(answering)
+        if answering:
+            assert not relay.sweep(1.0 + n)
+    whole = read_whole(relay.client.taken, answer=True)
+    assert whole.body == given_body and not whole.keep_alive and relay.client.closed
+
+
+def test_an_inherited_listener_halves_what_the_other_process_has_as_well():
+    raw = config_for(Counter(), Discovery(), [], limits={"sockets": 512, "memory_mb": 80})
+    alone, beside = (
+        Ingress(Relay(), read_config(raw, environment)) for environment in ({}, {"EDGE_ACCEPT_FD": "9"})
+    )
+    assert 2 * len(beside.counter.lanes) == len(alone.counter.lanes) == 16
+    assert 2 * len(alone.counter.lanes) <= 32
+    assert 3 * beside.front.gather < alone.front.gather  # of what memory leaves, not of all
