--- a/mapleline/http1/bodies.py
+++ b/mapleline/http1/bodies.py
@@ -6,14 +6,15 @@
 from .chunked import BadChunk
 
 
-class _Body:
-    """What has come of a body and waits, in pooled buffers."""
+class BodyWithLength:
+    """The next `length` bytes."""
 
-    __slots__ = ("_inbox", "_taken")
+    __slots__ = ("_inbox", "_taken", "length")
 
-    def __init__(self, pool: BufferPool) -> None:
+    def __init__(self, pool: BufferPool, length: int) -> None:
         self._inbox = Inbox(pool)
         self._taken = 0
+        self.length = length
 
     @property
     def held(self) -> int:
@@ -24,21 +25,6 @@
         """Bytes of body so far."""
         return self._taken + self._inbox.size
 
-    def take(self) -> bytes:
-        """What is held; the buffers go back."""
-        self._taken += self._inbox.size
-        return self._inbox.take()
-
-
-class BodyWithLength(_Body):
-    """The next `length` bytes."""
-
-    __slots__ = ("length",)
-
-    def __init__(self, pool: BufferPool, length: int) -> None:
-        super().__init__(pool)
-        self.length = length
-
     @property
     def whole(self) -> bool:
         return self.size >= self.length
@@ -49,21 +35,39 @@
         self._inbox.put(data[:end] if end < len(data) else data)
         return end
 
+    def take(self) -> bytes:
+        """What is held; the buffers go back."""
+        self._taken += self._inbox.size
+        return self._inbox.take()
+
 
-class BodyUntilClose(_Body):
+class BodyUntilClose:
     """All that comes before the end of the connection (RFC 9112, section 6.3), `most` bytes of it."""
 
-    __slots__ = ("_most", "whole")
+    __slots__ = ("_inbox", "_most", "_taken", "whole")
     length = None
 
     def __init__(self, pool: BufferPool, most: int) -> None:
-        super().__init__(pool)
+        self._inbox = Inbox(pool)
         self._most = most
+        self._taken = 0
         self.whole = False  #: set by who learns of the end
 
+    @property
+    def held(self) -> int:
+        return self._inbox.size
+
+    @property
+    def size(self) -> int:
+        return self._taken + self._inbox.size
+
     def feed(self, data: bytes) -> int:
         """Take in all of it.  Raises BadChunk where that is too much."""
         if self.size + len(data) > self._most:
             raise BadChunk(413, "body too large")
         self._inbox.put(data)
         return len(data)
+
+    def take(self) -> bytes:
+        self._taken += self._inbox.size
+        return self._inbox.take()
