--- /dev/null
+++ b/mapleline/faults/checker.py
@@ -0,0 +1,148 @@
+"""The checker: judges a fleet's history from its logs alone, as an operator could (pure).
+
+Told the events of every log (one dict a JSON line, each with `at`, Unix seconds of the machine's clock, and
+`event`), it returns the violations, each naming its rule.  The rules:
+
+- `answered`: every request the load sent has one answer by its deadline plus `slack_s`; none is lost, late,
+  answered twice, or cut off with its connection.  A request sent to an ingress while that ingress or the
+  load's link to it is under a fault (from the fault's start to its end plus the request's time) is excused:
+  the load there stands for clients the front would move.  With `strict`, nothing is excused.
+- `crash`: no process ended that the schedule did not end; no ingress reported a fault of its own
+  (`module raised`, `caught`, `action failed`, `answer failed`) or counted a broken invariant (`broken.*`).
+- `budget`: at every instant, the parts held of each budget (`budget held` to `budget released`, or to the end
+  of the part's lease) sum to no more than its whole.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+OWN_FAULTS = ("module raised", "caught", "action failed", "answer failed")
+COUNTED_FAULTS = ("twisted.caught", "engine.action_failed", "engine.answer_failed", "module.raised")
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    rule: str
+    at: float
+    where: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.rule} at {self.at:.3f} ({self.where}): {self.what}"
+
+
+def judge(logs: Mapping[str, Iterable[dict[str, Any]]], slack_s: float = 0.5,
+          strict: bool = False) -> list[Violation]:  # fmt: skip
+    """Every violation, by time.  `logs` maps a source (`load`, `fleet`, `ingress-2`) to its events."""
+    events = {name: sorted(lines, key=lambda e: e.get("at", 0.0)) for name, lines in logs.items()}
+    found = _answered(events, slack_s, strict) + _crash(events) + _budget(events)
+    return sorted(found, key=lambda v: (v.at, v.rule))
+
+
+def _windows(fleet: list[dict[str, Any]]) -> dict[str, list[tuple[float, float]]]:
+    """For each ingress, the times when it or the load's link to it was under a fault."""
+    begun: dict[tuple[str, str], float] = {}
+    spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    last = max((e["at"] for e in fleet), default=0.0)
+    for event in fleet:
+        where = event.get("process") or event.get("link") or ""
+        ingress = where.removeprefix("load>") if where.startswith(("load>", "ingress-")) else ""
+        if not ingress or ">" in ingress:
+            continue
+        key = (ingress, event.get("fault", ""))
+        if event["event"] == "fault begun":
+            begun[key] = event["at"]
+            if event.get("mode") in ("kill",):
+                spans[ingress].append((event["at"], float("inf")))
+        elif event["event"] == "fault ended" and key in begun:
+            spans[ingress].append((begun.pop(key), event["at"]))
+    for (ingress, _), start in begun.items():
+        spans[ingress].append((start, last))
+    return spans
+
+
+def _answered(events: dict[str, list[dict[str, Any]]], slack_s: float, strict: bool) -> list[Violation]:
+    windows = {} if strict else _windows(events.get("fleet", []))
+    sent: dict[str, dict[str, Any]] = {}
+    ends: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for event in events.get("load", []):
+        if event["event"] == "sent":
+            sent[event["id"]] = event
+        elif event["event"] in ("answer", "cut off", "unanswered"):
+            ends[event["id"]].append(event)
+    found = []
+    for rid, request in sent.items():
+        deadline = request["at"] + request["timeout_ms"] / 1000
+        spans = windows.get(request["ingress"], ())
+        if any(start <= request["at"] <= end + request["timeout_ms"] / 1000 for start, end in spans):
+            continue
+        where, got = request["ingress"], ends.get(rid, [])
+        if not got or got[0]["event"] == "unanswered":
+            found.append(Violation("answered", request["at"], where, f"request {rid} lost: never answered"))
+        elif len(got) > 1:
+            found.append(Violation("answered", got[1]["at"], where, f"request {rid} answered {len(got)}x"))
+        elif got[0]["event"] == "cut off":
+            found.append(Violation("answered", got[0]["at"], where, f"request {rid} cut off unanswered"))
+        elif got[0]["at"] > deadline + slack_s:
+            late = got[0]["at"] - deadline
+            found.append(Violation("answered", got[0]["at"], where, f"request {rid} late by {late:.3f} s"))
+    return found
+
+
+def _crash(events: dict[str, list[dict[str, Any]]]) -> list[Violation]:
+    found = []
+    for event in events.get("fleet", []):
+        if event["event"] == "process ended" and not event.get("by_schedule"):
+            what = f"ended with status {event.get('status')} unbidden"
+            found.append(Violation("crash", event["at"], event["process"], what))
+        if event["event"] == "process failed to start":
+            found.append(Violation("crash", event["at"], event["process"], "failed to start"))
+    for name, lines in events.items():
+        if name in ("fleet", "load"):
+            continue
+        for event in lines:
+            if event["event"] in OWN_FAULTS:
+                found.append(Violation("crash", event["at"], name, f"reported {event['event']!r}"))
+            elif event["event"] == "counters":
+                counts = event.get("counts", {})
+                bad = {k: n for k, n in counts.items() if n and (k[:7] == "broken." or k in COUNTED_FAULTS)}
+                if bad:
+                    found.append(Violation("crash", event["at"], name, f"counted {bad}"))
+    return found
+
+
+def _budget(events: dict[str, list[dict[str, Any]]]) -> list[Violation]:
+    """A sweep over every part's start and end; the sum is checked after each start."""
+    edges: dict[str, list[tuple[float, int, float, str]]] = defaultdict(list)
+    wholes: dict[str, float] = {}
+    for name, lines in events.items():
+        held: dict[tuple[str, Any], float] = {}
+        for event in lines:
+            if event["event"] == "budget held":
+                budget, key = event["budget"], (event["budget"], event.get("epoch"))
+                wholes[budget] = min(wholes.get(budget, float("inf")), event["whole"])
+                edges[budget].append((event["at"], 1, event["part"], name))
+                held[key] = event["part"]
+                until = event.get("until")
+                if until is not None:
+                    edges[budget].append((until, 0, event["part"], name))
+                    held.pop(key)
+            elif event["event"] == "budget released":
+                key = (event["budget"], event.get("epoch"))
+                if key in held:
+                    edges[event["budget"]].append((event["at"], 0, held.pop(key), name))
+        for (budget, _), part in held.items():  # held to the end of the log
+            edges[budget].append((float("inf"), 0, part, name))
+    found = []
+    for budget, marks in edges.items():
+        total = 0.0
+        for at, starts, part, name in sorted(marks):  # at one instant ends come before starts
+            total += part if starts else -part
+            if starts and total > wholes[budget] * (1 + 1e-9):
+                what = f"{budget}: parts sum to {total:g} of a whole of {wholes[budget]:g}"
+                found.append(Violation("budget", at, name, what))
+    return found
--- /dev/null
+++ b/mapleline/faults/fleet.py
@@ -0,0 +1,306 @@
+"""The controller of a fleet: every party a process, a Link on every link, the load and the schedule.
+
+A driver (Twisted, subprocesses): it writes a log a source under `logs/`, leaving the verdict to the checker.
+Every address is on loopback.  `bare` puts a stand-in agenda server where each ingress would be: a party
+with no defences, on which every fault shows.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import IO, Any
+
+import orjson
+
+from .proxy import Link
+from .schedule import LINK_MODES, Schedule, Step
+
+READY_S = 20.0  # a bound on waiting for a start, never a measure
+SERVERS_PER_ZONE = 2
+CLASSES = [
+    {"name": "look", "effect": "free", "aim_ns": 1_200_000_000, "deadline_ns": 4_000_000_000,
+     "late_worth": 0.2},
+]
+PLANS = [{"name": "wide", "refill": 500.0, "depth": 5000.0}]
+
+
+def settings_for(schedule: Schedule, me: int) -> dict[str, Any]:
+    """The platform's settings of ingress `me`, as the simulator's wire gives them."""
+    return {
+        "balancers": schedule.fleet.ingresses, "me": me, "zones": list(schedule.fleet.zones), "kinds": ["k"],
+        "quantum_ns": 2_000_000, "weight_kind": "rough", "classes": CLASSES, "plans": PLANS,
+        "limits": {"attempts_cap": 3, "cancel": True, "conn_idle_ns": 30_000_000_000,
+                   "dial_timeout_ns": 250_000_000, "max_retry_after_ns": 2_000_000_000},
+        "invariants": {"drain_grace_ns": 1_000_000_000, "cold_from": 0.2, "warm_up_ns": 10_000_000_000,
+                       "fall_multiple": 2.5, "fall_ns": 2_000_000_000},
+        "specifics": {"may_count": True, "count_wait_ns": 30_000_000},
+    }  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Child:
+    """One process of the fleet under its name."""
+
+    def __init__(self, name: str, argv: list[str], env: dict[str, str], log: IO[bytes] | None) -> None:
+        self.name, self.argv, self.env, self.log = name, argv, env, log
+        self.popen: subprocess.Popen[bytes] | None = None
+        self.bidden = False  # the schedule or the rig ended it
+        self.reported = False
+
+    def start(self, standin: bool) -> list[int]:
+        self.bidden = self.reported = False
+        stdout = subprocess.PIPE if standin else subprocess.DEVNULL
+        self.popen = subprocess.Popen(self.argv, env=self.env, stdin=subprocess.PIPE, stdout=stdout,
+                                      stderr=self.log or subprocess.DEVNULL)  # fmt: skip
+        if not standin:
+            return []
+        assert self.popen.stdout is not None
+        line = self.popen.stdout.readline()
+        return orjson.loads(line) if line else []
+
+    def signal(self, number: int) -> None:
+        if self.popen is not None and self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+
+class Controller:
+    """Starts, loads, plays the schedule, stops; `run` returns once everything has ended."""
+
+    def __init__(self, schedule: Schedule, logs: Path, bare: bool = False, load: bool = True) -> None:
+        from twisted.internet import reactor
+
+        self.schedule, self.logs, self.bare, self.with_load = schedule, logs, bare, load
+        self.reactor: Any = reactor
+        logs.mkdir(parents=True, exist_ok=True)
+        self.files: dict[str, IO[bytes]] = {}
+        self.children: dict[str, Child] = {}
+        self.links: dict[str, Link] = {}
+        self.ingress_ports: dict[str, int] = {}
+        self.draw = random.Random(schedule.fleet.seed)
+
+    def log(self, source: str, event: str, **fields: Any) -> None:
+        if source not in self.files:
+            self.files[source] = open(self.logs / f"{source}.jsonl", "ab")
+        self.files[source].write(orjson.dumps({"at": time.time(), "event": event, **fields}) + b"\n")
+
+    def _standin(self, name: str, told: dict[str, Any]) -> list[int]:
+        argv = [sys.executable, "-m", "mapleline.lab.standins", orjson.dumps(told).decode()]
+        child = self.children[name] = Child(name, argv, dict(os.environ), None)
+        ports = child.start(standin=True)
+        self.log("fleet", "process started", process=name, pid=child.popen.pid, ports=ports)
+        return ports
+
+    def _link(self, name: str, port: int) -> int:
+        link = self.links[name] = Link(name, ("127.0.0.1", port), self.reactor)
+        return link.listen()
+
+    def start(self) -> None:
+        fleet = self.schedule.fleet
+        ingresses = [f"ingress-{n}" for n in range(fleet.ingresses)]
+        if self.bare:
+            for name in ingresses:
+                told = {"kind": "agenda", "work_s": fleet.work_ms / 1000, "metered_below": 0}
+                port = self._standin(name, told)
+                self.ingress_ports[name] = self._link(f"load>{name}", port[0])
+            return
+        counter = self._standin("counter", {"kind": "counter"})[0]
+        zones = {z: self._standin(f"zone-{z}", {"kind": "agenda", "work_s": fleet.work_ms / 1000,
+                                                "metered_below": 0, "many": SERVERS_PER_ZONE})
+                 for z in fleet.zones}  # fmt: skip
+        for me, name in enumerate(ingresses):
+            targets = []
+            for zone, ports in zones.items():
+                for n, port in enumerate(ports):
+                    near = self._link(f"{name}>zone-{zone}#{n}", port)
+                    targets.append({"uid": f"s-{zone}{n}", "endpoint": f"127.0.0.1:{near}", "az": zone,
+                                    "model": "k", "pod_group": n, "state": "in_service", "capacity_hint": 1.0,
+                                    "boot_ms": 0})  # fmt: skip
+            known = {"rev": 1, "all": True, "targets": targets}
+            listen = free_port()
+            config = {"name": name, "listen": f"127.0.0.1:{listen}", "seed": f"{me + 1:x}",
+                      "counter": f"127.0.0.1:{self._link(f'{name}>counter', counter)}",
+                      "discovery": f"127.0.0.1:{self._discovery(known)}", "known": known,
+                      "limits": {"sockets": 512}, "settings": settings_for(self.schedule, me)}  # fmt: skip
+            file = self.logs / f"{name}.config.json"
+            file.write_bytes(orjson.dumps(config))
+            env = {**os.environ, "EDGE_CONFIG": str(file)}
+            log = open(self.logs / f"{name}.jsonl", "ab")
+            child = self.children[name] = Child(name, [sys.executable, "-O", "-m", "mapleline"], env, log)
+            child.start(standin=False)
+            self.log("fleet", "process started", process=name, pid=child.popen.pid, listen=listen)
+            self.ingress_ports[name] = self._link(f"load>{name}", listen)
+        for name in ingresses:
+            self._wait_ready(name, int(orjson.loads((self.logs / f"{name}.config.json").read_bytes())
+                                       ["listen"].rpartition(":")[2]))  # fmt: skip
+
+    def _discovery(self, known: dict[str, Any]) -> int:
+        from twisted.internet import protocol
+
+        whole = orjson.dumps(known)
+        nothing = b'{"rev":1,"all":false,"targets":[]}'
+        reactor = self.reactor
+
+        class Roster(protocol.Protocol):
+            data = b""
+
+            def dataReceived(self, data: bytes) -> None:
+                self.data += data
+                while b"\r\n\r\n" in self.data:
+                    head, _, self.data = self.data.partition(b"\r\n\r\n")
+                    body = nothing if b"after=" in head else whole
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+                    if body is nothing:
+                        reactor.callLater(10.0, self._write, answer)
+                    else:
+                        self.transport.write(answer)
+
+            def _write(self, answer: bytes) -> None:
+                if self.transport.connected:
+                    self.transport.write(answer)
+
+        factory = protocol.ServerFactory()
+        factory.protocol = Roster
+        return reactor.listenTCP(0, factory, interface="127.0.0.1").getHost().port
+
+    def _wait_ready(self, name: str, port: int) -> None:
+        ends = time.monotonic() + READY_S
+        while time.monotonic() < ends:
+            if self.children[name].popen.poll() is not None:
+                break
+            try:
+                with socket.create_connection(("127.0.0.1", port), timeout=1) as sock:
+                    sock.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    if sock.recv(64).startswith(b"HTTP/1.1 200"):
+                        self.log("fleet", "process ready", process=name)
+                        return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        self.log("fleet", "process failed to start", process=name)
+
+    # The schedule.
+
+    def begin(self, step: Step) -> None:
+        where = {"link": step.link, "process": step.process}
+        self.log("fleet", "fault begun", fault=step.name, mode=step.mode, **where)
+        if step.mode in LINK_MODES:
+            figures = {"ms": step.ms, "jitter_ms": step.jitter_ms, "share": step.share,
+                       "bytes_per_s": step.bytes_per_s}  # fmt: skip
+            for link in self._links(step.link):
+                link.set(step.mode, seed=step.seed, **figures)
+            return
+        child = self.children[step.process]
+        if step.mode == "stall":
+            child.signal(signal.SIGSTOP)
+        elif step.mode in ("kill", "restart"):
+            child.bidden = True
+            child.signal(signal.SIGKILL)
+            if step.mode == "restart":
+                child.popen.wait()
+                self._ended(child)
+                child.start(standin=False)
+                self.log("fleet", "process started", process=child.name, pid=child.popen.pid)
+
+    def end(self, step: Step) -> None:
+        if step.mode in LINK_MODES:
+            for link in self._links(step.link):
+                link.set("pass")
+        elif step.mode == "stall":
+            self.children[step.process].signal(signal.SIGCONT)
+        where = {"link": step.link, "process": step.process}
+        self.log("fleet", "fault ended", fault=step.name, mode=step.mode, **where)
+
+    def _links(self, name: str) -> list[Link]:
+        return [link for key, link in self.links.items() if key == name or key.startswith(name + "#")]
+
+    def _watch(self) -> None:
+        for child in self.children.values():
+            if child.popen is not None and child.popen.poll() is not None and not child.reported:
+                self._ended(child)
+
+    def _ended(self, child: Child) -> None:
+        child.reported = True
+        self.log("fleet", "process ended", process=child.name, status=child.popen.returncode,
+                 by_schedule=child.bidden)  # fmt: skip
+
+    # The load: open loop, a request a connection at a time, each line of it in load.jsonl.
+
+    def _load(self, ends: float) -> None:
+        from .load import Load
+
+        fleet = self.schedule.fleet
+        self.load = Load(self.reactor, self.ingress_ports, fleet, self.log, self.draw)
+        self.load.start(ends)
+
+    def run(self) -> None:
+        from twisted.internet import task
+
+        self.start()
+        fleet = self.schedule.fleet
+        self.log("fleet", "load begun", seconds=fleet.seconds, rate=fleet.rate, seed=fleet.seed)
+        watch = task.LoopingCall(self._watch)
+        watch.start(0.05, now=False)
+        for step in self.schedule.steps:
+            self.reactor.callLater(step.at, self.begin, step)
+            if step.ends is not None:
+                self.reactor.callLater(step.ends, self.end, step)
+        if self.with_load:
+            self._load(fleet.seconds)
+            self.reactor.callLater(fleet.seconds + fleet.grace, self.stop)
+        self.reactor.run(installSignalHandlers=True)
+        self.finish()
+
+    def stop(self) -> None:
+        if self.with_load:
+            self.load.finish()
+        self.log("fleet", "load ended")
+        for child in self.children.values():
+            child.bidden = True
+            child.signal(signal.SIGCONT)
+            child.signal(signal.SIGTERM)
+        self.reactor.callLater(0, self.reactor.stop)
+
+    def finish(self) -> None:
+        for child in self.children.values():
+            if child.popen is None:
+                continue
+            try:
+                child.popen.wait(timeout=READY_S)
+            except subprocess.TimeoutExpired:
+                child.popen.kill()
+                child.popen.wait()
+            if not child.reported:
+                self._ended(child)
+        for file in self.files.values():
+            file.close()
+        for link in self.links.values():
+            link.close()
+
+
+def read_logs(logs: Path) -> dict[str, list[dict[str, Any]]]:
+    """Every `*.jsonl` under `logs`, by source; a line that is no JSON event is kept as `unreadable`."""
+    out: dict[str, list[dict[str, Any]]] = {}
+    for path in sorted(logs.glob("*.jsonl")):
+        events = out[path.stem] = []
+        last = 0.0
+        for line in path.read_bytes().splitlines():
+            try:
+                event = orjson.loads(line)
+                last = event["at"]
+                event["event"]
+            except (orjson.JSONDecodeError, KeyError, TypeError):
+                event = {"at": last, "event": "unreadable", "line": line[:200].decode(errors="replace")}
+            events.append(event)
+    return out
