Give the rig its commands and tests: each fault kind broken on purpose is caught

mapleline fleet run|up|check. Before stand-in servers in the ingresses' place, with nothing to defend them, each of the eight link modes and stall, kill and restart makes the checker report the link or process it was put on (12 of 13), and the one left alone stays clean. A restarted stand-in's new ports are told to the links that dial it.

--- a/mapleline/cli/commands.py
+++ b/mapleline/cli/commands.py
@@ -199,3 +199,80 @@
 
         latency_by_rate(every, cores.HELD_MS, plot)
     return 0
+
+
+@group.group()
+def fleet() -> None:
+    """Several ingresses with faults between them; see docs/fleet.md."""
+
+
+def _schedule(file: Path) -> object:
+    from ..faults import schedule
+
+    try:
+        told, faults = schedule.load(str(file))
+    except OSError as err:
+        raise click.UsageError(f"{file}: {err.strerror}") from None
+    for fault in faults:
+        click.echo(f"{file}: {fault}", err=True)
+    if faults:
+        raise click.exceptions.Exit(2)
+    return told
+
+
+@fleet.command("run")
+@click.argument("schedule", type=FILE)
+@click.option("--logs", type=click.Path(file_okay=False, path_type=Path), default=Path("fleet-logs"),
+              show_default=True, help="Where every process's log goes; emptied first.")  # fmt: skip
+@click.option("--bare", is_flag=True, help="Stand-in servers where the ingresses would be: faults undefended.")
+def fleet_run(schedule: Path, logs: Path, bare: bool) -> int:
+    """Start the fleet, play SCHEDULE under load, stop, and judge the logs.  Status 1 if a rule broke."""
+    import shutil
+
+    from ..faults.fleet import Controller
+
+    told = _schedule(schedule)
+    shutil.rmtree(logs, ignore_errors=True)
+    Controller(told, logs, bare=bare).run()
+    return _verdict(logs, strict=bare)
+
+
+@fleet.command("up")
+@click.option("--settings", "file", type=FILE, required=True, help="A schedule file: its fleet block is used.")
+@click.option("--logs", type=click.Path(file_okay=False, path_type=Path), default=Path("fleet-logs"),
+              show_default=True)  # fmt: skip
+def fleet_up(file: Path, logs: Path) -> int:
+    """Start the fleet with no load and no faults, print where it listens, hold it until SIGINT or SIGTERM."""
+    import shutil
+
+    from ..faults.fleet import Controller
+
+    told = _schedule(file)
+    shutil.rmtree(logs, ignore_errors=True)
+    controller = Controller(told, logs, load=False)
+    controller.start()
+    for name, port in sorted(controller.ingress_ports.items()):
+        click.echo(f"{name} 127.0.0.1:{port}")
+    controller.reactor.addSystemEventTrigger("before", "shutdown", controller.stop)
+    controller.reactor.run()
+    controller.finish()
+    return _verdict(logs, strict=False)
+
+
+@fleet.command("check")
+@click.argument("logs", type=click.Path(file_okay=False, exists=True, path_type=Path))
+@click.option("--strict", is_flag=True, help="Excuse no request, not even at an ingress under a fault.")
+def fleet_check(logs: Path, strict: bool) -> int:
+    """Judge a fleet's logs again.  Status 1 if a rule broke."""
+    return _verdict(logs, strict)
+
+
+def _verdict(logs: Path, strict: bool) -> int:
+    from ..faults.checker import judge
+    from ..faults.fleet import read_logs
+
+    found = judge(read_logs(logs), strict=strict)
+    for violation in found[:50]:
+        click.echo(str(violation))
+    click.echo(f"{len(found)} violations" if found else "every rule held")
+    return 1 if found else 0
--- a/mapleline/faults/fleet.py
+++ b/mapleline/faults/fleet.py
@@ -58,6 +58,7 @@
         self.popen: subprocess.Popen[bytes] | None = None
         self.bidden = False  # the schedule or the rig ended it
         self.reported = False
+        self.ports: list[int] | None = None  # a stand-in's, as it printed them
 
     def start(self, standin: bool) -> list[int]:
         self.bidden = self.reported = False
@@ -98,7 +99,7 @@
     def _standin(self, name: str, told: dict[str, Any]) -> list[int]:
         argv = [sys.executable, "-m", "mapleline.lab.standins", orjson.dumps(told).decode()]
         child = self.children[name] = Child(name, argv, dict(os.environ), None)
-        ports = child.start(standin=True)
+        ports = child.ports = child.start(standin=True)
         self.log("fleet", "process started", process=name, pid=child.popen.pid, ports=ports)
         return ports
 
@@ -210,8 +211,19 @@
             if step.mode == "restart":
                 child.popen.wait()
                 self._ended(child)
-                child.start(standin=False)
-                self.log("fleet", "process started", process=child.name, pid=child.popen.pid)
+                self._restart(child)
+
+    def _restart(self, child: Child) -> None:
+        """The same name again: an ingress on its own config and port, a stand-in on new ports the links learn."""
+        standin = child.ports is not None
+        ports = child.start(standin=standin)
+        if standin:
+            moved = dict(zip(child.ports, ports, strict=True))
+            for link in self.links.values():
+                if link.target[1] in moved:
+                    link.target = (link.target[0], moved[link.target[1]])
+            child.ports = ports
+        self.log("fleet", "process started", process=child.name, pid=child.popen.pid)
 
     def end(self, step: Step) -> None:
         if step.mode in LINK_MODES:
--- a/mapleline/faults/schedule.py
+++ b/mapleline/faults/schedule.py
@@ -137,6 +137,8 @@
             kind = "link" if is_link else "process"
             hint = schema.nearest(where, sorted(known))
             faults.append(Fault(line, f"{key}.{kind}", f"no such {kind}: {where!r}; {hint}"))
+        elif step.mode == "clock":
+            faults.append(Fault(line, f"{key}.mode", "not yet: the ingress reads no clock offset"))
         elif step.mode == "stall" and step.lasts == 0:
             faults.append(Fault(line, f"{key}.for", "a stall needs an end"))
         kept.append(replace(step, seed=draw.getrandbits(32)))
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,111 @@
+"""The fault rig: schedules, the checker on histories made by hand, and whole fleets of processes with faults."""
+
+from __future__ import annotations
+
+import pytest
+
+from mapleline.faults import checker, schedule
+from mapleline.faults.fleet import Controller, read_logs
+
+FLEET = 'fleet {\n  ingresses = 3\n  zones = ["a", "b"]\n}\n'
+
+
+def step(**values):
+    body = "".join(f"  {k} = {v!r}\n".replace("'", '"') for k, v in values.items())
+    return FLEET + f'fault "f" {{\n{body}}}\n'
+
+
+@pytest.mark.parametrize("text, key", [
+    (step(at=1, link="ingress-7>counter", mode="cut"), "fault.f.link"),
+    (step(at=1, process="ingress-1", mode="cut"), "fault.f.mode"),
+    (step(at=1, link="ingress-1>counter", mode="kill"), "fault.f.mode"),
+    (step(at=1, process="ingress-1", mode="stall"), "fault.f.for"),
+    (step(at=1, process="ingress-1", mode="clock"), "fault.f.mode"),
+    (step(at=1, mode="kill"), "fault.f"),
+    (step(at=-1, process="ingress-1", mode="kill"), "fault.f.at"),
+    (step(at=1, process="ingress-1", mode="kill", colour=3), "fault.f.colour"),
+    (FLEET.replace('["a", "b"]', '["a", "a"]'), "fleet.zones"),
+    ('fleet {\n  ingresses = 0\n}\n', "fleet.ingresses"),
+    ("seconds = 3\n", "seconds"),
+])  # fmt: skip
+def test_a_schedule_that_is_wrong_names_the_key(text, key):
+    _, faults = schedule.read(text)
+    assert [f.key for f in faults] == [key]
+
+
+def test_a_schedule_is_the_same_on_every_reading():
+    text = step(at=2, link="ingress-1>zone-b", mode="delay", jitter_ms=40) + 'fault "g" {\n  at = 1\n  for = 2\n' \
+        '  process = "ingress-2"\n  mode = "stall"\n}\n'
+    first, faults = schedule.read(text)
+    assert not faults and first == schedule.read(text)[0]
+    assert [(s.name, s.at, s.ends) for s in first.steps] == [("g", 1.0, 3.0), ("f", 2.0, None)]
+
+
+def held(at, part, whole=10.0, epoch=1, until=None):
+    return {"at": at, "event": "budget held", "budget": "q", "whole": whole, "part": part, "epoch": epoch,
+            "until": until}  # fmt: skip
+
+
+def sent(at, rid, ingress="ingress-0"):
+    return {"at": at, "event": "sent", "id": rid, "ingress": ingress, "timeout_ms": 1000}
+
+
+@pytest.mark.parametrize("logs, rules", [
+    ({"ingress-0": [held(1, 6, until=3)], "ingress-1": [held(2, 4, until=4)]}, []),
+    ({"ingress-0": [held(1, 6, until=3)], "ingress-1": [held(2.5, 5, until=4)]}, ["budget"]),
+    ({"ingress-0": [held(1, 6, until=3)], "ingress-1": [held(3, 5, until=4)]}, []),
+    ({"ingress-0": [held(1, 6), {"at": 2, "event": "budget released", "budget": "q", "epoch": 1}],
+      "ingress-1": [held(2, 5)]}, []),
+    ({"ingress-0": [held(1, 6)], "ingress-1": [held(9, 5)]}, ["budget"]),
+    ({"load": [sent(1, "a"), {"at": 1.5, "event": "answer", "id": "a", "status": 200}]}, []),
+    ({"load": [sent(1, "a"), {"at": 2.6, "event": "answer", "id": "a", "status": 503}]}, ["answered"]),
+    ({"load": [sent(1, "a"), {"at": 5, "event": "unanswered", "id": "a"}]}, ["answered"]),
+    ({"load": [sent(1, "a"), {"at": 1.1, "event": "cut off", "id": "a"}]}, ["answered"]),
+    ({"load": [sent(1, "a"), *[{"at": 1.1, "event": "answer", "id": "a", "status": 200}] * 2]}, ["answered"]),
+    ({"load": [sent(1, "a"), {"at": 1.1, "event": "cut off", "id": "a"}],
+      "fleet": [{"at": 0.5, "event": "fault begun", "fault": "k", "mode": "kill", "process": "ingress-0"}]}, []),
+    ({"load": [sent(9, "a"), {"at": 9.1, "event": "cut off", "id": "a"}],
+      "fleet": [{"at": 0.5, "event": "fault begun", "fault": "s", "mode": "stall", "process": "ingress-0"},
+                {"at": 1, "event": "fault ended", "fault": "s", "mode": "stall", "process": "ingress-0"}]},
+     ["answered"]),
+    ({"fleet": [{"at": 1, "event": "process ended", "process": "ingress-1", "status": -9}]}, ["crash"]),
+    ({"fleet": [{"at": 1, "event": "process ended", "process": "ingress-1", "status": -9, "by_schedule": True}]},
+     []),
+    ({"ingress-1": [{"at": 1, "event": "module raised"}]}, ["crash"]),
+    ({"ingress-1": [{"at": 1, "event": "counters", "counts": {"broken.one_answer": 1, "request.served": 3}}]},
+     ["crash"]),
+])  # fmt: skip
+def test_the_checker_finds_what_a_history_breaks(logs, rules):
+    assert [v.rule for v in checker.judge(logs)] == rules
+
+
+EVERY_FAULT = """
+fleet {
+  ingresses = 13
+  seconds = 3
+  rate = 520
+  grace = 1.5
+  timeout_ms = 150
+  seed = 5
+}
+""" + "".join(f'fault "{mode}" {{\n  at = 1\n  for = 1\n  {where} = "{name}"\n  mode = "{mode}"\n{more}}}\n'
+              for mode, where, name, more in [
+    ("delay", "link", "load>ingress-1", "  ms = 300\n"), ("loss", "link", "load>ingress-2", "  share = 1\n"),
+    ("cut", "link", "load>ingress-3", ""), ("cut_up", "link", "load>ingress-4", ""),
+    ("cut_down", "link", "load>ingress-5", ""), ("blackhole", "link", "load>ingress-6", ""),
+    ("reset", "link", "load>ingress-7", ""), ("slow", "link", "load>ingress-8", "  bytes_per_s = 40\n"),
+    ("stall", "process", "ingress-9", ""), ("kill", "process", "ingress-10", ""),
+    ("restart", "process", "ingress-11", ""), ("restart", "process", "ingress-12", ""),
+]).replace('fault "restart" {\n  at = 1\n  for = 1\n  process = "ingress-12"',
+           'fault "restart2" {\n  at = 1.5\n  for = 1\n  process = "ingress-12"')  # fmt: skip
+
+
+def test_every_fault_shows_before_a_party_without_defences(tmp_path):
+    """Stand-in servers in the ingresses' place: each fault breaks a rule there, and the untouched one none."""
+    told, faults = schedule.read(EVERY_FAULT)
+    assert not faults
+    Controller(told, tmp_path, bare=True).run()
+    found = checker.judge(read_logs(tmp_path), slack_s=0.05, strict=True)
+    broken = {v.where for v in found if v.rule == "answered"}
+    assert broken == {f"ingress-{n}" for n in range(1, 13)}, [str(v) for v in found[:20]]
+    assert not [v for v in found if v.rule == "crash"]
