Divide budgets by claims on the counter per epoch; count members by heartbeats (pure)

budgets/: a claim's part is what the counter's total left of the whole, used only inside its epoch's lease less a clock margin. membership/: a count of members a period, beats of the watched predecessor by incarnation.

--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,132 @@
+"""Budgets and membership, pure: claims on a model of the counter with loss, reordering, stalls and skew."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from mapleline.budgets import Budget, granted
+from mapleline.membership import View
+
+WHOLE, LEASE_S, MARGIN_S = 100.0, 10.0, 0.75
+SKEWS = st.sampled_from([0, 0.3, 0.6, 1])  # shares of the largest skew
+LOST = st.sampled_from([False, False, False, True])  # one message in four
+
+
+@pytest.mark.parametrize("want, total, part", [(30, 30, 30), (30, 90, 30), (30, 110, 20), (30, 130, 0),
+                                               (30, 500, 0), (0, 100, 0)])  # fmt: skip
+def test_a_claim_gets_what_the_sum_before_it_left(want, total, part):
+    assert granted(want, total, WHOLE) == part
+
+
+@pytest.mark.parametrize("now, epoch_part", [(10.0, 0), (10.74, 0), (10.75, 40), (19.24, 40), (19.25, 0)])
+def test_a_part_is_used_only_inside_its_lease(now, epoch_part):
+    budget = Budget("q", WHOLE, LEASE_S, MARGIN_S)
+    budget.answered(1, 40, 40)
+    assert budget.usable(now) == epoch_part
+
+
+@pytest.mark.parametrize("demand, alive, want", [(0, 4, 25), (60, 4, 60), (500, 4, 100), (10, 0, 100)])
+def test_a_member_wants_its_demand_within_an_even_share_and_the_whole(demand, alive, want):
+    assert Budget("q", WHOLE, LEASE_S, MARGIN_S).want(demand, alive) == want
+
+
+@pytest.mark.parametrize("beats, now, states", [
+    ({1: (1, 10)}, 10.5, ["alive", "alive", "dead"]),
+    ({1: (1, 9), 2: (1, 8)}, 10.5, ["alive", "alive", "suspect"]),
+    ({1: (2, 3), 2: (1, 10)}, 10.5, ["alive", "dead", "alive"]),
+])  # fmt: skip
+def test_members_are_alive_suspect_or_dead_by_their_last_beat(beats, now, states):
+    view = View(3, 0, 1.0)
+    for member, (incarnation, period) in beats.items():
+        view.beat(member, incarnation, period)
+    view.beat(1, 1, 10)  # an older incarnation's beat counts for nothing
+    assert [view.state(m, now) for m in range(3)] == states
+
+
+def test_the_count_of_members_is_the_larger_of_the_last_two_periods():
+    view = View(5, 2, 1.0)
+    view.counted(9, 4)
+    view.counted(10, 2)
+    assert (view.alive(10.5), view.alive(11.5), view.alive(13.0), view.predecessor()) == (4, 2, 1, 1)
+
+
+class Claims(RuleBasedStateMachine):
+    """Members claim on one counter; messages are lost, reordered, late; members stall; clocks differ.
+
+    At every instant the parts in use, each read on its member's own clock, sum to no more than the whole.
+    """
+
+    skew_most = MARGIN_S * 2 * 0.99
+
+    @initialize(members=st.integers(2, 5), skews=st.lists(SKEWS, min_size=5, max_size=5),
+                now=st.floats(108, 110))  # fmt: skip
+        # near an epoch's end, where clocks matter
+    def start(self, members, skews, now):
+        self.now = now
+        self.skews = [s * self.skew_most for s in skews[:members]]
+        self.budgets = [Budget("q", WHOLE, LEASE_S, MARGIN_S) for _ in range(members)]
+        self.stalled = [False] * members
+        self.totals: dict[int, float] = {}
+        self.out: list[tuple[int, int, float]] = []  # claims on their way to the counter
+        self.back: list[tuple[int, int, float, float]] = []  # answers on their way back
+
+    def clock(self, member):
+        return self.now + self.skews[member]
+
+    @rule(member=st.integers(0, 4), ahead=st.integers(0, 1), want=st.floats(0, WHOLE))
+    def claim(self, member, ahead, want):
+        if member < len(self.budgets) and not self.stalled[member]:
+            epoch = int(self.clock(member) // LEASE_S) + ahead
+            self.out.append((member, epoch, want))
+
+    @precondition(lambda self: self.out)
+    @rule(pick=st.integers(0, 99), lose=LOST)
+    def counter_adds(self, pick, lose):
+        member, epoch, want = self.out.pop(pick % len(self.out))
+        if lose:
+            return
+        total = self.totals[epoch] = self.totals.get(epoch, 0.0) + want
+        self.back.append((member, epoch, want, total))
+
+    @precondition(lambda self: self.back)
+    @rule(pick=st.integers(0, 99), lose=LOST)
+    def answer_arrives(self, pick, lose):
+        member, epoch, want, total = self.back[pick % len(self.back)]
+        if self.stalled[member]:
+            return  # it waits in the socket until the member wakes
+        self.back.remove((member, epoch, want, total))
+        if not lose:
+            self.budgets[member].answered(epoch, want, total)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 0.74, 1.0, 4.0, 8.0]))
+    def time_passes(self, seconds):
+        self.now += seconds
+
+    @rule(member=st.integers(0, 4))
+    def stall_or_wake(self, member):
+        if member < len(self.budgets):
+            self.stalled[member] = not self.stalled[member]
+
+    @invariant()
+    def parts_in_use_stay_within_the_whole(self):
+        if not hasattr(self, "budgets"):
+            return
+        used = [b.usable(self.clock(m)) for m, b in enumerate(self.budgets) if not self.stalled[m]]
+        assert sum(used) <= WHOLE + 1e-6, (self.now, used)
+
+
+Claims.TestCase.settings = settings(max_examples=1000, stateful_step_count=30, deadline=None,
+                                    derandomize=True)  # fmt: skip
+test_claims_never_sum_above_the_whole = Claims.TestCase
+
+
+def test_clocks_apart_by_more_than_twice_the_margin_can_sum_above_the_whole():
+    """The bound is real: a clock 2 m ahead uses the next epoch while another still uses this one."""
+    early, late = Budget("q", WHOLE, LEASE_S, MARGIN_S), Budget("q", WHOLE, LEASE_S, MARGIN_S)
+    late.answered(10, 60, 60)
+    early.answered(11, 60, 60)
+    now = 110.0 - MARGIN_S - 0.01
+    assert late.usable(now) + early.usable(now + 2 * MARGIN_S + 0.02) == 120
