--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -26,6 +26,7 @@
 LEAST_S = 0.02  # with less left nothing is sent
 BACK_S = 0.3  # when to come back where nothing better is known
 BUDGET_PART = 0.7  # of a further try's ratio is spent: what others count may lag
+HEDGE = 2.5  # usual answer times without an answer: then another server is asked as well
 USUAL_FIRST_S = 0.25
 USUAL_GAIN = 0.05
 UNREACHABLE_MOST = 4  # servers that could not be reached are no servers that it was sent to
@@ -34,21 +35,26 @@
 class Call:
     """One request in hand."""
 
-    __slots__ = ("arrived", "attempt", "desk", "door", "end_at", "id", "kind", "over", "request", "route", "sent",
+    __slots__ = ("arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request", "route", "sent",
                  "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
 
     def __init__(self, desk: Desk, door: Door, request: Request, now: float) -> None:
         self.desk, self.door, self.request, self.arrived = desk, door, request, now
-        self.attempt: Attempt | None = None
+        self.attempts: list[Attempt] = []  #: out now
         self.sent = self.unreachable = 0
         self.tried: list[str] = []
-        self.worst, self.over, self.timer = Verdict.NEVER, False, None
+        self.worst, self.over, self.timer, self.hedge = Verdict.NEVER, False, None, None
         self.id = request.headers.get(b"request-id", b"")
         self.tenant: str | None = None
 
     def left(self) -> None:
         """The client is gone."""
         self._end()
+        self.call_off()
+
+    def call_off(self) -> None:
+        for attempt in list(self.attempts):
+            attempt.call_off()
 
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
         if not self.over:
@@ -59,11 +65,10 @@
         if self.over:
             return
         self.over = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        for timer in (self.timer, self.hedge):
+            if timer is not None and timer.active():
+                timer.cancel()
         self.desk.calls.discard(self)
-        if self.attempt is not None:
-            self.attempt.call_off()
 
     def refuse(self, status: int, back_s: float, why: bytes) -> None:
         """Refused before it ran: says when to come back."""
@@ -216,22 +221,35 @@
         if call.over:
             return
         if not self.may_serve() or not self._still_allowed(call):
-            return self._give_up(call, False)
+            return None if call.attempts else self._give_up(call, False)
         left = call.end_at - now
         targets = self.usable(call.service, self._homes(call), now) if left > LEAST_S else []
         best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng)
         if best is None:
             self.count("no_server")
-            return self._give_up(call, False)
+            return None if call.attempts else self._give_up(call, False)
         one = self.catalogue.instances[best.id]
         if self.is_cold(one, now):
             best.cold_store -= 1.0
         call.tried.append(best.id)
         data = self._head(call, one, left)
-        attempt = call.attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a))
+        attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a))
+        call.attempts.append(attempt)
         call.sent += 1
+        if call.kind == "idempotent" and call.hedge is None:
+            call.hedge = self.reactor.callLater(HEDGE * self._usual(call), self._hedge, call)
         self.servers.send(attempt, one.address)
 
+    def _usual(self, call: Call) -> float:
+        """The time that an answer on its route takes."""
+        return self.usual.get((call.service, call.route.path_prefix), USUAL_FIRST_S)
+
+    def _hedge(self, call: Call) -> None:
+        """No answer for long: the first one of two servers counts.  The other works on: breaking it off gains nothing."""
+        if not call.over and call.attempts and self._again(call):
+            self.count("hedged")
+            self._dispatch(call)
+
     def _still_allowed(self, call: Call) -> bool:
         """The key was not taken away while the request waited."""
         table = self.table
@@ -253,26 +271,28 @@
     def _ended(self, call: Call, attempt: Attempt) -> None:
         """An attempt is over, by an answer or without one."""
         now, target, response = self.reactor.seconds(), attempt.target, attempt.response
-        call.attempt = None
+        if attempt in call.attempts:
+            call.attempts.remove(attempt)
         if attempt.verdict is not Verdict.NEVER:
             call.worst = max(call.worst, attempt.verdict)
         self._learn(call, attempt, now)
         if call.over:
             return
-        if response is not None and attempt.verdict is Verdict.RAN:
-            if response.status < 500 or not self._again(call):
-                return self._pass(call, response)
-            return self._dispatch(call)
+        if response is not None and attempt.verdict is Verdict.RAN and response.status < 500:
+            return self._pass(call, response)
+        if response is not None and response.status == 421:
+            self.targets.pop(target.id, None)
         if attempt.why == "unreachable":
             call.sent -= 1
             call.unreachable += 1
-            if call.unreachable < UNREACHABLE_MOST:
+            if call.unreachable < UNREACHABLE_MOST and not call.attempts:
                 return self._dispatch(call)
-            return self._give_up(call, False)
-        if response is not None and response.status == 421:
-            self.targets.pop(target.id, None)
-        if verdict.may_repeat(call.kind, call.worst) and self._again(call):
+        elif self._again(call):
             return self._dispatch(call)
+        if call.attempts:
+            return  # the other one may still answer
+        if response is not None and attempt.verdict is Verdict.RAN:
+            return self._pass(call, response)
         self._give_up(call, False)
 
     def _again(self, call: Call) -> bool:
@@ -301,8 +321,7 @@
             if response.status != 421:
                 target.told, target.told_at = max(target.told, target.slots + 6.0), now
             return
-        took, key = now - attempt.sent_at, (call.service, call.route.path_prefix)
-        usual = self.usual.get(key, USUAL_FIRST_S)
+        took, usual, key = now - attempt.sent_at, self._usual(call), (call.service, call.route.path_prefix)
         target.answered(took / usual)
         if response.status < 500:
             self.usual[key] = usual + USUAL_GAIN * (took - usual)
@@ -326,6 +345,7 @@
         """The deadline: an attempt that is out may have run, or runs still."""
         if call.over:
             return
-        if call.attempt is not None and call.attempt.written:
+        if any(attempt.written for attempt in call.attempts):
             call.worst = max(call.worst, Verdict.MAYBE)
         self._give_up(call, True)
+        call.call_off()
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -39,6 +39,7 @@
     tenant: str
     window: int
     units: float
+    homes: list[str]
     ask: bool = True
 
 
@@ -50,10 +51,19 @@
     previous: float
 
 
-class Busy(msgspec.Struct, array_like=True, tag=6):
-    """Requests that the sender has out, by server: told to its own zone."""
+class Part(msgspec.Struct, array_like=True, frozen=True):
+    """Of one name: what the sender and those before it counted, and what it knows that the other did."""
 
-    out: dict[str, int]
+    tenant: str
+    window: int
+    own: float
+    yours: float
+
+
+class Parts(msgspec.Struct, array_like=True, tag=6):
+    """One holder to the other."""
+
+    parts: list[Part]
 
 
 class Store(msgspec.Struct, array_like=True, tag=10):
@@ -79,7 +89,7 @@
     list_age_ms: int = 0
 
 
-Datagram = Beat | Probe | Held | Tally | Total | Busy
+Datagram = Beat | Probe | Held | Tally | Total | Parts
 Call = Store | Pull
 Reply = Stored | Pulled
 
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -15,7 +15,6 @@
 
 from ..http1.buffers import BufferPool
 from ..http1.messages import Request
-from ..policy.window import Ask
 from . import archive, courier, messages
 from .archive import CONFIG, Entry, Lease, Word
 from .catalogue import Catalogue
@@ -24,23 +23,22 @@
 from .control import Control
 from .desk import Desk
 from .doors import Door, House
-from .ledger import Names, holders
 from .log import configure, say
 from .lookup import answer as lookup_answer
-from .messages import Beat, Held, Probe, Pull, Pulled, Store, Stored, Tally, Total
-from .platform import Platform
+from .messages import Beat, Held, Parts, Probe, Pull, Pulled, Store, Stored, Tally, Total
+from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
 from .servers import Servers
 from .settings import Boot, SettingsFault
 from .settings import read as read_settings
 from .shelf import CoreNote, Shelf
+from .teller import Teller
 
-BEAT_S, SILENT_BEATS = 0.5, 6
-PROBE_S = 1.0
+BEAT_S = 0.5
+PROBE_S, PROBE_HASTE_S = 1.0, 0.15
 SWEEP_S = 0.5
 FORM_QUIET_S, FORM_LEAST_S, FORM_MOST_S = 1.0, 1.5, 5.0
 LEASE_MARGIN_S = 0.3
-TALLY_AGAIN_S, TALLY_MOST_S = 0.07, 0.2
 CALL_S = 1.5
 
 
@@ -57,30 +55,30 @@
         self.leaving = False
         me = Member(courier.number(boot.ip_address), self.zones.index(boot.zone), DISK if boot.data_directory else 0,
                     incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
-        self.register = Register(me, BEAT_S * SILENT_BEATS)
+        self.register = Register(me, BEAT_S)
         self.word, self.lease = Word(), Lease(self.losses)
-        self.catalogue, self.names = Catalogue(), Names()
+        self.catalogue = Catalogue()
         self.durable: dict[str, archive.Stamp] = {}
         self.shelf = Shelf(boot.data_directory) if boot.data_directory else None
         self.formed, self.noted = False, []
         self.probes: dict[int, tuple[int, float]] = {}
         self.waiting: list[tuple[float, Deferred]] = []
-        self.tallies: dict[int, dict] = {}
         self.pulling: set[str] = set()
         self.nonce = self.rng.getrandbits(30)
         self.beats = 0
         self.core_seen = (0, self.started)
         pool = BufferPool()
         self.servers = Servers(reactor, pool)
+        self.port = boot.internal_port_range[0]
+        self.datagrams = courier.Datagrams(self.port, self.told)
+        self.teller = Teller(reactor, boot, self.register, self.datagrams.send, self.tenants)
         self.desk = Desk(
-            reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.tally, self.rng
+            reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.teller.ask, self.rng
         )
         self.front = House(reactor, pool, self.desk.take)
         self.control = Control(self)
         self.houses = [self.front]
         self.platform = Platform(reactor, boot, self.catalogue, self.listed)
-        self.port = boot.internal_port_range[0]
-        self.datagrams = courier.Datagrams(self.port, self.told)
 
     # -- start and end -------------------------------------------------------------------------------------
 
@@ -142,6 +140,10 @@
 
     # -- readiness and the directory -----------------------------------------------------------------------
 
+    def tenants(self) -> int:
+        """How many there are."""
+        return len(self.desk.table.tenants) if self.desk.table is not None else 0
+
     def may_serve(self) -> bool:
         """What is held is known to have been the newest lately enough."""
         if self.desk.table is None:
@@ -210,12 +212,8 @@
                 self.datagrams.send(ip, Held(message.nonce, self.formed, core, self.word.marks()))
             case Held():
                 self._held(ip, message, now)
-            case Tally():
-                before, previous = self.names.add(ip, message.nonce, message.tenant, message.window, message.units)
-                if message.ask:
-                    self.datagrams.send(ip, Total(message.nonce, before, previous))
-            case Total():
-                self._total(ip, message)
+            case Tally() | Total() | Parts():
+                self.teller.told(ip, message)
 
     def _list_news(self, ip: int, beat: Beat, now: float) -> None:
         fetched = now - beat.list_age_ms / 1000
@@ -235,7 +233,11 @@
         self.lease.core = max(self.lease.core, len(core))
 
     def probe(self) -> None:
-        self.reactor.callLater(PROBE_S * self.rng.uniform(0.9, 1.1), self.probe)
+        """Often while a lease is wanting, and at leisure while it is fresh."""
+        unformed = self.shelf is not None and not self.formed
+        wanting = unformed or self.reactor.seconds() - self.lease.since() > 2 * PROBE_S
+        every = PROBE_S * self.rng.uniform(0.9, 1.1) if not wanting else PROBE_HASTE_S
+        self.reactor.callLater(every, self.probe)
         self.ask_core()
         self.form()
 
@@ -470,14 +472,16 @@
     def poll(self) -> None:
         """One ingress asks the platform for all; who hears nothing new for long asks itself."""
         now = self.reactor.seconds()
-        self.reactor.callLater(self.platform.every * self.rng.uniform(0.95, 1.05), self.poll)
+        empty = not self.catalogue.digest
+        every = FIRST_S if empty else EVERY_S
+        self.reactor.callLater(every * self.rng.uniform(0.9, 1.1), self.poll)
         if self.leaving:
             return
         able = [m for m in self.register.alive(now) if not m.flags & LEAVING]
         holder = min(able, key=lambda m: (not m.disk, m.place), default=self.register.me)
         age = now - self.catalogue.fetched
-        alone = age > self.platform.stale and self.rng.random() < 0.5
-        if now - self.started > 0.5 and (holder.ip == self.register.me.ip or alone):
+        alone = age > STALE_S and now - self.started > 2 * FIRST_S and self.rng.random() < 2 / (1 + len(able))
+        if now - self.started > FIRST_S / 2 and (holder.ip == self.register.me.ip or alone):
             self.platform.fetch()
 
     def listed(self, changed: bool) -> None:
@@ -486,65 +490,6 @@
             self.desk.refresh()
             self.push()
 
-    # -- tallies -------------------------------------------------------------------------------------------
-
-    def tally(self, ask: Ask) -> None:
-        """Consult the holders of a tenant's names; the larger answer counts."""
-        now = self.reactor.seconds()
-        members = [m for m in self.register.alive(now) if not m.flags & LEAVING]
-        if ask.homes:
-            homes = {n for n, zone in enumerate(self.zones) if self.boot.zones[zone] in ask.homes}
-            members = [m for m in members if m.zone in homes] or members
-        window, left = ask.tenancy.place(time.time())
-        self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-        nonce = self.nonce
-        asked = holders(ask.tenancy.name, [(m.ip, m.zone) for m in members])
-        message = Tally(nonce, ask.tenancy.name, window, 1.0)
-        state = {"ask": ask, "left": left, "open": set(asked), "got": [], "asked": asked, "message": message}
-        self.tallies[nonce] = state
-        self._send_tally(state)
-        if nonce in self.tallies:
-            state["again"] = self.reactor.callLater(TALLY_AGAIN_S, self._send_tally, state)
-            state["late"] = self.reactor.callLater(TALLY_MOST_S, self._decide_tally, nonce)
-
-    def _send_tally(self, state: dict) -> None:
-        message = state["message"]
-        for ip in list(state["open"]):
-            if ip == self.register.me.ip:
-                got = self.names.add(ip, message.nonce, message.tenant, message.window, message.units)
-                self._total(ip, Total(message.nonce, *got))
-            else:
-                self.datagrams.send(ip, message)
-
-    def _total(self, ip: int, total: Total) -> None:
-        state = self.tallies.get(total.nonce)
-        if state is None or ip not in state["open"]:
-            return
-        state["open"].discard(ip)
-        state["got"].append((total.before, total.previous))
-        if not state["open"]:
-            self._decide_tally(total.nonce)
-
-    def _decide_tally(self, nonce: int) -> None:
-        state = self.tallies.pop(nonce, None)
-        if state is None:
-            return
-        for name in ("again", "late"):
-            if name in state and state[name].active():
-                state[name].cancel()
-        ask, message = state["ask"], state["message"]
-        answer = None
-        if state["got"]:
-            answer = (max(b for b, _ in state["got"]), max(p for _, p in state["got"]), state["left"])
-        if not ask.done(answer):  # a refused try's units are taken off again
-            self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-            off = Tally(self.nonce, message.tenant, message.window, -message.units, False)
-            for ip in state["asked"]:
-                if ip == self.register.me.ip:
-                    self.names.add(ip, off.nonce, off.tenant, off.window, off.units)
-                else:
-                    self.datagrams.send(ip, off)
-
     # -- once in a while -----------------------------------------------------------------------------------
 
     def sweep(self) -> None:
--- a/mapleline/system/platform.py
+++ b/mapleline/system/platform.py
@@ -18,7 +18,7 @@
 from .settings import Boot
 
 CALL_S = 1.0
-EVERY_S, STALE_S = 0.8, 2.0
+EVERY_S, STALE_S, FIRST_S = 0.8, 2.0, 0.2
 WHOLE = 1 << 24
 
 
@@ -53,7 +53,6 @@
         self.reactor, self.boot, self.catalogue, self.listed = reactor, boot, catalogue, listed
         self.pool = BufferPool(kept=2)
         self.busy = False
-        self.every, self.stale = EVERY_S, STALE_S
 
     def fetch(self) -> None:
         """Ask for the whole list, unless a question is out."""
--- a/mapleline/system/register.py
+++ b/mapleline/system/register.py
@@ -9,12 +9,14 @@
 
 import struct
 from dataclasses import dataclass
+from math import log2
 from zlib import crc32
 
 ROW = struct.Struct("<IIIBBH")  # address, incarnation, count, zone, flags, age in 10 ms
 READY, LEAVING, DISK, FORMED = 1, 2, 4, 8
 OLD = 0xFFFF
 FORGET_S = 60.0
+MISSED = 2.75  # beats
 
 
 @dataclass(slots=True)
@@ -41,10 +43,15 @@
 class Register:
     """The table of one ingress."""
 
-    def __init__(self, me: Member, silent_s: float) -> None:
-        self.me, self.silent_s = me, silent_s
+    def __init__(self, me: Member, beat_s: float) -> None:
+        self.me, self.beat_s = me, beat_s
         self.members: dict[int, Member] = {me.ip: me}
 
+    @property
+    def silent_s(self) -> float:
+        """After which it is taken for lost: the beats that its newest is on its way, and some that got lost."""
+        return self.beat_s * (MISSED + log2(max(2, len(self.members))) / 2)
+
     def know(self, ip: int, zone: int, flags: int) -> None:
         """A member from an earlier life's record: not alive until it is heard of."""
         self.members.setdefault(ip, Member(ip, zone, flags))
--- /dev/null
+++ b/mapleline/system/teller.py
@@ -0,0 +1,162 @@
+"""Consults the holders of tallies, and answers as one of them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..policy.window import Ask
+from . import messages
+from .ledger import Names, holders, shard_of
+from .messages import Parts, Tally, Total
+from .register import LEAVING, Register
+from .settings import Boot
+
+AGAIN_S = 0.045  # the nearer holder is asked again, and the other one as well
+MOST_S = 0.16  # then the request is refused: a fifth of the shortest aim seen
+TELL_S = 0.1  # what a holder counted is told to the other so often
+MISSES, SUSPECT_S = 2, 1.2  # consultations in a row without an answer; then it is not asked for a while
+ROUND_TRIP_LEAST_S = 0.02
+
+
+class _Open:
+    """One consultation."""
+
+    __slots__ = ("ask", "asked", "left", "message", "order", "timers")
+
+    def __init__(self, ask: Ask, message: Tally, left: float, order: list[int]) -> None:
+        self.ask, self.message, self.left, self.order = ask, message, left, order
+        self.asked: set[int] = set()
+        self.timers: list[Any] = []
+
+
+class Teller:
+    """`send(ip, message)` may lose it; `tenants()` tells how many there are."""
+
+    def __init__(
+        self, reactor: Any, boot: Boot, register: Register, send: Callable[[int, messages.Datagram], None],
+        tenants: Callable[[], int],
+    ) -> None:  # fmt: skip
+        self.reactor, self.boot, self.register, self.send, self.tenants = reactor, boot, register, send, tenants
+        self.zones = sorted(boot.zones)
+        self.me = register.me
+        self.names = Names()
+        self.open: dict[int, _Open] = {}
+        self.misses: dict[int, int] = {}
+        self.suspect: dict[int, float] = {}
+        self.homes: dict[str, tuple[str, ...]] = {}  #: of the tenants whose names are held here
+        self.nonce = int(time.time() * 1000) & 0x3FFFFFFF  # another life's nonces are others
+        reactor.callLater(TELL_S, self._tell)
+
+    def _holders(self, tenant: str, homes: tuple[str, ...]) -> list[int]:
+        now = self.reactor.seconds()
+        able = []
+        for m in self.register.alive(now):
+            zone = self.zones[m.zone]
+            if not m.flags & LEAVING and (not homes or self.boot.zones[zone] in homes):
+                able.append((m.ip, m.zone, self.boot.zones[zone]))
+        return holders(shard_of(tenant, self.tenants()), ",".join(homes), able)
+
+    def _distance(self, ip: int) -> tuple[int, bool]:
+        member = self.register.members.get(ip)
+        if ip == self.me.ip or member is None:
+            return 0, False
+        zone = self.zones[member.zone]
+        away = 0 if zone == self.boot.zone else 1 if self.boot.zones[zone] == self.boot.region else 2
+        return away, True
+
+    def ask(self, ask: Ask) -> None:
+        """One consultation for one request."""
+        homes = tuple(sorted(ask.homes))
+        now = self.reactor.seconds()
+        order = self._holders(ask.tenancy.name, homes)
+        order.sort(key=lambda ip: (self.suspect.get(ip, -1.0) > now, self._distance(ip)))
+        if not order:
+            ask.done(None)
+            return
+        window, left = ask.tenancy.place(time.time())
+        self.nonce = (self.nonce + 1) & 0x7FFFFFFF
+        one = _Open(ask, Tally(self.nonce, ask.tenancy.name, window, 1.0, list(homes)), left, order)
+        self.open[self.nonce] = one
+        self._send(one, order[0])
+        if self.nonce in self.open:
+            one.timers = [self.reactor.callLater(AGAIN_S, self._again, one),
+                          self.reactor.callLater(MOST_S, self._late, one)]  # fmt: skip
+
+    def _send(self, one: _Open, ip: int) -> None:
+        one.asked.add(ip)
+        if ip == self.me.ip:
+            self._total(ip, self._count(ip, one.message))
+        else:
+            self.send(ip, one.message)
+
+    def _again(self, one: _Open) -> None:
+        if self._distance(one.order[0])[0] < 2:  # a far one's answer is still on its way
+            self._missed(one.order[0])
+        for ip in one.order:
+            if one.message.nonce in self.open:
+                self._send(one, ip)
+
+    def _missed(self, ip: int) -> None:
+        self.misses[ip] = self.misses.get(ip, 0) + 1
+        if self.misses[ip] >= MISSES:
+            self.suspect[ip] = self.reactor.seconds() + SUSPECT_S
+
+    def _late(self, one: _Open) -> None:
+        for ip in one.asked:
+            self._missed(ip)
+        self._decide(one, None)
+
+    def _decide(self, one: _Open, answer: tuple[float, float, float] | None) -> None:
+        self.open.pop(one.message.nonce, None)
+        for timer in one.timers:
+            if timer.active():
+                timer.cancel()
+        if one.ask.done(answer):
+            return
+        said = one.message  # a refused try's units are taken off again
+        self.nonce = (self.nonce + 1) & 0x7FFFFFFF
+        off = Tally(self.nonce, said.tenant, said.window, -said.units, said.homes, False)
+        for ip in one.asked:
+            if ip == self.me.ip:
+                self._count(ip, off)
+            else:
+                self.send(ip, off)
+
+    # -- as a holder ---------------------------------------------------------------------------------------
+
+    def told(self, ip: int, message: Tally | Total | Parts) -> None:
+        """A datagram has come."""
+        if isinstance(message, Tally):
+            total = self._count(ip, message)
+            if message.ask:
+                self.send(ip, total)
+        elif isinstance(message, Total):
+            self._total(ip, message)
+        else:
+            self.names.take(ip, message.parts)
+
+    def _count(self, ip: int, message: Tally) -> Total:
+        self.homes[message.tenant] = tuple(message.homes)
+        return Total(message.nonce, *self.names.add(ip, message.nonce, message.tenant, message.window, message.units))
+
+    def _total(self, ip: int, total: Total) -> None:
+        self.misses.pop(ip, None)
+        self.suspect.pop(ip, None)
+        one = self.open.get(total.nonce)
+        if one is not None and ip in one.asked:
+            self._decide(one, (total.before, total.previous, one.left))
+
+    def _tell(self) -> None:
+        """Holders tell each other what they have counted."""
+        self.reactor.callLater(TELL_S, self._tell)
+        to: dict[int, set[str]] = {}
+        for tenant in self.names.changed:
+            for ip in self._holders(tenant, self.homes.get(tenant, ())):
+                if ip != self.me.ip:
+                    to.setdefault(ip, set()).add(tenant)
+        for ip, tenants in to.items():
+            parts = self.names.parts(ip, tenants)
+            if parts:
+                self.send(ip, Parts(parts))
