--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 CHANCE = 0.08  # of a usual answer time: ingresses that know the same must not choose alike
-NEAR, FAR = 0.35, 2.5  # usual answer times that another zone, another region, must be better by
+NEAR, FAR = 0.1, 0.3  # usual answer times that another zone, another region, must be better by
+NEAR_KB, FAR_KB = 0.008, 0.06  # the same for each kilobyte that goes there and back: links between regions are dear
 TOLD_S = 0.6  # a told load is worth less and less; after this long a third of it is left
 AGAIN = 6.0  # usual answer times that a server already tried must be better by
 SLOW_GAIN = 0.15  # weight of the newest answer in a server's slowness
@@ -60,15 +61,17 @@
 
 
 def choose(
-    now: float, targets: Iterable[Target], zone: str, region: str, tried: Iterable[str], rng: random.Random
-) -> Target | None:
-    """Least expected time to an answer, in usual answer times, with the way there priced."""
+    now: float, targets: Iterable[Target], zone: str, region: str, tried: Iterable[str], rng: random.Random,
+    kilobytes: float = 0.0,
+) -> Target | None:  # fmt: skip
+    """Least expected time to an answer, in usual answer times, with the way there priced by what goes over it."""
     best, best_cost = None, 0.0
+    near, far = NEAR + NEAR_KB * kilobytes, FAR + FAR_KB * kilobytes
     for t in targets:
         load = t.load(now)
         cost = t.slow * (1.0 + max(0.0, load + 1 - t.slots) / t.slots + 0.1 * load / t.slots)
         cost += CHANCE * rng.random()
-        cost += 0.0 if t.zone == zone else NEAR if t.region == region else FAR
+        cost += 0.0 if t.zone == zone else near if t.region == region else far
         cost += AGAIN if t.id in tried else 0.0
         cost += AGAIN if now < t.hold else 0.0
         if best is None or cost < best_cost:
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -26,7 +26,8 @@
 LEAST_S = 0.02  # with less left nothing is sent
 BACK_S = 0.3  # when to come back where nothing better is known
 BUDGET_PART = 0.7  # of a further try's ratio is spent: what others count may lag
-HEDGE = 2.5  # usual answer times without an answer: then another server is asked as well
+NEAR_S = 3.0  # what another has out is believed so long
+HEDGE = 4.0  # usual answer times without an answer: then another server is asked as well
 USUAL_FIRST_S = 0.25
 USUAL_GAIN = 0.05
 UNREACHABLE_MOST = 4  # servers that could not be reached are no servers that it was sent to
@@ -35,8 +36,8 @@
 class Call:
     """One request in hand."""
 
-    __slots__ = ("arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request", "route", "sent",
-                 "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
+    __slots__ = ("arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request", "route",
+                 "sent", "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
 
     def __init__(self, desk: Desk, door: Door, request: Request, now: float) -> None:
         self.desk, self.door, self.request, self.arrived = desk, door, request, now
@@ -89,7 +90,10 @@
         self.cooling: dict[str, float] = {}  #: zones taken back, and until when their servers count as cold
         self.targets: dict[str, Target] = {}
         self.calls: set[Call] = set()
-        self.usual: dict[tuple[str, str], float] = {}  #: answer time by service and kind
+        self.usual: dict[tuple[str, str], float] = {}  #: answer time by service and prefix
+        self.sizes: dict[tuple[str, str], float] = {}  #: bytes of an answer, likewise
+        self.near: dict[int, tuple[float, dict[int, int]]] = {}  #: what others of the region have out
+        self.told: dict[int, int] = {}
         self.credit: dict[str, float] = {}  #: further tries saved up, by service
         self.tenancies: dict[str, Tenancy] = {}
         self.counts: dict[str, int] = {}
@@ -111,6 +115,25 @@
         for id in [id for id in self.targets if id not in listed]:
             self.servers.drop(self.targets.pop(id))
 
+    def busy(self) -> dict[int, int] | None:
+        """What is out at servers of this region, if that differs from what was last told."""
+        out = {crc32(t.id.encode()): t.out for t in self.targets.values() if t.out and t.region == self.boot.region}
+        if out == self.told:
+            return None
+        self.told = out
+        return out
+
+    def heard(self, ip: int, out: dict[int, int], now: float) -> None:
+        """Another ingress of the region has told that."""
+        self.near[ip] = (now, out)
+        sums: dict[int, int] = {}
+        for at, counts in self.near.values():
+            if now - at < NEAR_S:
+                for id, count in counts.items():
+                    sums[id] = sums.get(id, 0) + count
+        for target in self.targets.values():
+            target.near = sums.get(crc32(target.id.encode()), 0)
+
     def is_cold(self, one: Instance, now: float) -> bool:
         return now < max(one.cold_until, self.cooling.get(one.zone, -1e9))
 
@@ -224,7 +247,8 @@
             return None if call.attempts else self._give_up(call, False)
         left = call.end_at - now
         targets = self.usable(call.service, self._homes(call), now) if left > LEAST_S else []
-        best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng)
+        kilobytes = (len(call.request.body) + self.sizes.get(self._key(call), 0.0)) / 1000
+        best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng, kilobytes)
         if best is None:
             self.count("no_server")
             return None if call.attempts else self._give_up(call, False)
@@ -242,10 +266,13 @@
 
     def _usual(self, call: Call) -> float:
         """The time that an answer on its route takes."""
-        return self.usual.get((call.service, call.route.path_prefix), USUAL_FIRST_S)
+        return self.usual.get(self._key(call), USUAL_FIRST_S)
+
+    def _key(self, call: Call) -> tuple[str, str]:
+        return call.service, call.route.path_prefix
 
     def _hedge(self, call: Call) -> None:
-        """No answer for long: the first one of two servers counts.  The other works on: breaking it off gains nothing."""
+        """No answer for long: the first one of two servers counts.  Breaking the other off would gain nothing."""
         if not call.over and call.attempts and self._again(call):
             self.count("hedged")
             self._dispatch(call)
@@ -321,10 +348,12 @@
             if response.status != 421:
                 target.told, target.told_at = max(target.told, target.slots + 6.0), now
             return
-        took, usual, key = now - attempt.sent_at, self._usual(call), (call.service, call.route.path_prefix)
+        took, usual, key = now - attempt.sent_at, self._usual(call), self._key(call)
         target.answered(took / usual)
         if response.status < 500:
             self.usual[key] = usual + USUAL_GAIN * (took - usual)
+            size = self.sizes.get(key, len(response.body))
+            self.sizes[key] = size + USUAL_GAIN * (len(response.body) - size)
 
     def _pass(self, call: Call, response: Any) -> None:
         """The server's answer, unchanged."""
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -51,6 +51,12 @@
     previous: float
 
 
+class Busy(msgspec.Struct, array_like=True, tag=7):
+    """Requests that the sender has out, by the checksum of a server's id: told within its region."""
+
+    out: dict[int, int]
+
+
 class Part(msgspec.Struct, array_like=True, frozen=True):
     """Of one name: what the sender and those before it counted, and what it knows that the other did."""
 
@@ -89,7 +95,7 @@
     list_age_ms: int = 0
 
 
-Datagram = Beat | Probe | Held | Tally | Total | Parts
+Datagram = Beat | Probe | Held | Tally | Total | Parts | Busy
 Call = Store | Pull
 Reply = Stored | Pulled
 
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -25,7 +25,7 @@
 from .doors import Door, House
 from .log import configure, say
 from .lookup import answer as lookup_answer
-from .messages import Beat, Held, Parts, Probe, Pull, Pulled, Store, Stored, Tally, Total
+from .messages import Beat, Busy, Held, Parts, Probe, Pull, Pulled, Store, Stored, Tally, Total
 from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
 from .servers import Servers
@@ -35,6 +35,7 @@
 from .teller import Teller
 
 BEAT_S = 0.5
+BUSY_S = 0.05
 PROBE_S, PROBE_HASTE_S = 1.0, 0.15
 SWEEP_S = 0.5
 FORM_QUIET_S, FORM_LEAST_S, FORM_MOST_S = 1.0, 1.5, 5.0
@@ -96,7 +97,7 @@
                 self.reactor.listenTCP(place[1], house, backlog=256, interface=place[0])
         if listen.front_addr is not None:
             self.reactor.listenTCP(listen.front_addr[1], self.front, backlog=1024, interface=listen.front_addr[0])
-        for tick in (self.beat, self.probe, self.sweep, self.poll):
+        for tick in (self.beat, self.probe, self.sweep, self.poll, self.tell_busy):
             tick()
         say("node", "started", zone=boot.zone, disk=bool(self.shelf), initial=boot.initial_start)
 
@@ -187,6 +188,15 @@
             for ip in sorted(asked - {self.register.me.ip}):
                 self.datagrams.send(ip, self._beat(reply=True))
 
+    def tell_busy(self) -> None:
+        """The ingresses of the region know of each other what they have out."""
+        self.reactor.callLater(BUSY_S, self.tell_busy)
+        out = self.desk.busy()
+        if out is not None:
+            for m in self.register.alive(self.reactor.seconds()):
+                if m.ip != self.register.me.ip and self.boot.zones[self.zones[m.zone]] == self.boot.region:
+                    self.datagrams.send(m.ip, Busy(out))
+
     def push(self) -> None:
         """News for all at once."""
         now = self.reactor.seconds()
@@ -212,6 +222,8 @@
                 self.datagrams.send(ip, Held(message.nonce, self.formed, core, self.word.marks()))
             case Held():
                 self._held(ip, message, now)
+            case Busy():
+                self.desk.heard(ip, message.out, now)
             case Tally() | Total() | Parts():
                 self.teller.told(ip, message)
 
