--- a/mapleline/policy/window.py
+++ b/mapleline/policy/window.py
@@ -1,7 +1,8 @@
 """The two-window estimate of a tenant's use, and what it says of a try.
 
-The window is about one burst time long.  Its limit is what the quota's own window may hold, spread over the
-windows that can lie in it; a part of the slack is left for what a lost holder lets through twice.
+The window is about one burst time long: the longest whose limit lets the whole rate through.  The limit is what
+the quota's own window may hold, spread over the windows that can lie in it (one more than fit); a part of the slack
+is left for what holders do not see of each other.
 """
 
 from __future__ import annotations
@@ -9,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-SPARE = 0.8  # of overshoot and slack that are used
+SPARE = 0.6  # of overshoot and slack that are used: holders far apart do not see each other's last adds
+EVEN = 1.05  # of the rate goes on through full windows
 
 
 def estimate(previous: float, left: float, current: float) -> float:
@@ -31,9 +33,9 @@
         self, name: str, rate: float, burst: float, quota_window: float, overshoot: float, slack: float
     ) -> None:
         self.name, self.limits = name, (rate, burst)
-        burst_s = burst / rate if burst > 0 else quota_window / 5
-        self.window = min(max(burst_s, quota_window / 10), quota_window / 2)
         allowed = (rate * quota_window + burst) * (1 + SPARE * overshoot) + SPARE * slack
+        longest = allowed / (EVEN * rate) - quota_window  # a longer one bears more chance, and less of the rate
+        self.window = min(max(longest, quota_window / 10), quota_window / 2)
         self.limit = allowed / (quota_window / self.window + 1)
 
     def place(self, unix: float) -> tuple[int, float]:
--- a/mapleline/system/ledger.py
+++ b/mapleline/system/ledger.py
@@ -16,6 +16,7 @@
 SHARD = 16  # tenants: what two holders tell each other fits one datagram
 KEPT = 2  # windows for which a name lives
 NONCES = 4096
+MUCH, WHILE_S = 2.0, 0.2  # units, and seconds, after which the other holder is told
 
 
 def shard_of(tenant: str, tenants: int) -> int:
@@ -23,11 +24,14 @@
     return crc32(tenant.encode()) % max(1, tenants // SHARD)
 
 
-def holders(shard: int, homes: str, candidates: list[tuple[int, int, str]]) -> list[int]:
-    """The two holders of a shard, of (address, zone, region): by lot, as far apart as there are."""
+def holders(shard: int, homes: str, candidates: list[tuple[int, int, str, bool]]) -> list[int]:
+    """The two holders of a shard, of (address, zone, region, core): by lot, as far apart as there are.
+
+    Machines of the core come last: a cut through the core must not lie between two holders.
+    """
     if not candidates:
         return []
-    order = sorted(candidates, key=lambda c: crc32(b"%d %d %s" % (c[0], shard, homes.encode())))
+    order = sorted(candidates, key=lambda c: (c[3], crc32(b"%d %d %s" % (c[0], shard, homes.encode()))))
     first = order[0]
     others = [c for c in order if c[2] != first[2]] or [c for c in order if c[1] != first[1]]
     return [first[0]] + [c[0] for c in others[:1]]
@@ -39,12 +43,19 @@
 
     own: float = 0.0  #: what this holder was asked for
     told: dict[int, float] = field(default_factory=dict)  #: what other holders said they, and those before them, had
-    changed: bool = True
+    untold: float = 0.0  #: how much of it the other holder was not told
+    told_at: float = -1e9
+    told_to: int = 0
 
     @property
     def total(self) -> float:
         return self.own + sum(self.told.values())
 
+    def due(self, now: float, to: int) -> bool:
+        """Much is told at once, little in a while, all of it to a new holder."""
+        waited = now - self.told_at >= WHILE_S
+        return self.untold >= MUCH or self.untold > 0 and waited or to != self.told_to and self.total > 0
+
 
 class Names:
     """The counts that this ingress holds."""
@@ -73,7 +84,8 @@
         if len(self._order) > NONCES:
             self._seen.discard(self._order.popleft())
         count = name.total
-        name.own, name.changed = max(0.0, name.own + units), True
+        name.own = max(0.0, name.own + units)
+        name.untold += abs(units)
         return count, before
 
     def take(self, sender: int, parts: list[Part]) -> None:
@@ -83,19 +95,23 @@
             name = self._name(part.tenant, part.window)
             name.told[sender] = part.own
             if fresh:
-                name.own, name.changed = part.yours, False
+                name.own = part.yours
 
-    def parts(self, to: int, tenants: set[str]) -> list[Part]:
-        """What has changed of these tenants since it was last told, for the other holder."""
+    def parts(self, now: float, to: int, tenants: set[str]) -> list[Part]:
+        """What the other holder is to be told of these tenants."""
         found = []
         for (tenant, window), name in self._names.items():
-            if name.changed and tenant in tenants:
-                name.changed = False
+            if tenant in tenants and name.due(now, to):
+                name.untold, name.told_at, name.told_to = 0.0, now, to
                 others = sum(count for ip, count in name.told.items() if ip != to)
                 found.append(Part(tenant, window, name.own + others, name.told.get(to, 0.0)))
         return found
 
-    @property
-    def changed(self) -> set[str]:
-        """Tenants of which something is to be told."""
-        return {tenant for (tenant, _), name in self._names.items() if name.changed}
+    def tenants(self) -> set[str]:
+        """Of whom there are names here."""
+        return {tenant for tenant, _ in self._names}
+
+    def own(self, tenant: str, window: int) -> float:
+        """What this holder itself was asked for."""
+        name = self._names.get((tenant, window))
+        return name.own if name is not None else 0.0
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -67,7 +67,7 @@
 
 
 class Parts(msgspec.Struct, array_like=True, tag=6):
-    """One holder to the other."""
+    """One holder to the other; answered by an empty one."""
 
     parts: list[Part]
 
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -15,7 +15,8 @@
 
 AGAIN_S = 0.045  # the nearer holder is asked again, and the other one as well
 MOST_S = 0.16  # then the request is refused: a fifth of the shortest aim seen
-TELL_S = 0.1  # what a holder counted is told to the other so often
+TELL_S = 0.05  # holders look so often for what they have to tell each other
+SILENT_S = 0.6  # a holder that has told and heard nothing since counts what it is asked for twice
 MISSES, SUSPECT_S = 2, 1.2  # consultations in a row without an answer; then it is not asked for a while
 ROUND_TRIP_LEAST_S = 0.02
 
@@ -45,6 +46,7 @@
         self.open: dict[int, _Open] = {}
         self.misses: dict[int, int] = {}
         self.suspect: dict[int, float] = {}
+        self.unheard: dict[int, float] = {}  #: other holders, and since when they owe us a word
         self.homes: dict[str, tuple[str, ...]] = {}  #: of the tenants whose names are held here
         self.nonce = int(time.time() * 1000) & 0x3FFFFFFF  # another life's nonces are others
         reactor.callLater(TELL_S, self._tell)
@@ -55,7 +57,7 @@
         for m in self.register.alive(now):
             zone = self.zones[m.zone]
             if not m.flags & LEAVING and (not homes or self.boot.zones[zone] in homes):
-                able.append((m.ip, m.zone, self.boot.zones[zone]))
+                able.append((m.ip, m.zone, self.boot.zones[zone], m.disk))
         return holders(shard_of(tenant, self.tenants()), ",".join(homes), able)
 
     def _distance(self, ip: int) -> tuple[int, bool]:
@@ -135,11 +137,20 @@
         elif isinstance(message, Total):
             self._total(ip, message)
         else:
+            self.unheard.pop(ip, None)
             self.names.take(ip, message.parts)
+            if message.parts:
+                self.send(ip, Parts([]))
 
     def _count(self, ip: int, message: Tally) -> Total:
-        self.homes[message.tenant] = tuple(message.homes)
-        return Total(message.nonce, *self.names.add(ip, message.nonce, message.tenant, message.window, message.units))
+        homes = self.homes[message.tenant] = tuple(message.homes)
+        before, previous = self.names.add(ip, message.nonce, message.tenant, message.window, message.units)
+        now = self.reactor.seconds()
+        if self.unheard and any(now - self.unheard.get(other, now) > SILENT_S
+                                for other in self._holders(message.tenant, homes)):  # fmt: skip
+            before = max(before, 2 * self.names.own(message.tenant, message.window))  # a cut: it lets in as much
+            previous = max(previous, 2 * self.names.own(message.tenant, message.window - 1))
+        return Total(message.nonce, before, previous)
 
     def _total(self, ip: int, total: Total) -> None:
         self.misses.pop(ip, None)
@@ -152,11 +163,17 @@
         """Holders tell each other what they have counted."""
         self.reactor.callLater(TELL_S, self._tell)
         to: dict[int, set[str]] = {}
-        for tenant in self.names.changed:
-            for ip in self._holders(tenant, self.homes.get(tenant, ())):
+        now = self.reactor.seconds()
+        found: dict[tuple[int, tuple[str, ...]], list[int]] = {}
+        for tenant in self.names.tenants():
+            key = shard_of(tenant, self.tenants()), self.homes.get(tenant, ())
+            if key not in found:
+                found[key] = self._holders(tenant, key[1])
+            for ip in found[key]:
                 if ip != self.me.ip:
                     to.setdefault(ip, set()).add(tenant)
         for ip, tenants in to.items():
-            parts = self.names.parts(ip, tenants)
+            parts = self.names.parts(now, ip, tenants)
             if parts:
+                self.unheard.setdefault(ip, now)
                 self.send(ip, Parts(parts))
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -141,12 +141,13 @@
     def test_the_estimate_refuses_above_the_limit_and_says_when(self):
         self.assertEqual(estimate(10, 0.25, 3), 5.5)
         tenancy = Tenancy("t", 18, 18, 5.0, 0.1, 20)
-        self.assertEqual(tenancy.window, 1.0)
         self.assertIsNone(tenancy.over(tenancy.limit, 0, 0.5))
-        self.assertAlmostEqual(tenancy.over(tenancy.limit + 1, 0, 0.5), 0.5)
-        self.assertAlmostEqual(tenancy.over(tenancy.limit - 5, 10, 0.6), 0.1)
-        # any quota window meets six windows at most
-        self.assertLess(6 * tenancy.limit, (18 * 5 + 18) * 1.1 + 20)
+        self.assertAlmostEqual(tenancy.over(tenancy.limit + 1, 0, 0.5), 0.5 * tenancy.window)
+        self.assertAlmostEqual(tenancy.over(tenancy.limit - 5, 10, 0.6), 0.1 * tenancy.window)
+        for rate, burst in ((0.5, 1), (4, 4), (18, 18), (59, 59), (59, 10), (300, 900)):
+            tenancy = Tenancy("t", rate, burst, 5.0, 0.1, 20)
+            self.assertGreaterEqual(tenancy.limit / tenancy.window, min(rate, 1.05 * rate) * 0.99, rate)
+            self.assertLess((5 / tenancy.window + 1) * tenancy.limit, (rate * 5 + burst) * 1.1 + 20)
 
     def test_a_repeat_adds_nothing_and_a_refused_try_is_taken_off(self):
         names = Names()
@@ -159,26 +160,27 @@
     def test_two_holders_as_far_apart_as_there_are(self):
         regions = {0: "east", 1: "east", 2: "west"}
         for shard in range(5):
-            first, second = holders(shard, "", [(ip, ip % 3, regions[ip % 3]) for ip in range(1, 10)])
+            first, second = holders(shard, "", [(ip, ip % 3, regions[ip % 3], False) for ip in range(1, 10)])
             self.assertNotEqual(regions[first % 3], regions[second % 3])
-            first, second = holders(shard, "east", [(ip, ip % 2, "east") for ip in range(1, 10)])
+            first, second = holders(shard, "east", [(ip, ip % 2, "east", ip < 3) for ip in range(1, 10)])
             self.assertNotEqual(first % 2, second % 2)
-        self.assertEqual(len(holders(0, "", [(1, 0, "east"), (2, 0, "east")])), 1)
+            self.assertGreater(min(first, second), 2)  # the core last
+        self.assertEqual(len(holders(0, "", [(1, 0, "east", True), (2, 0, "east", False)])), 1)
 
     def test_holders_tell_each_other_and_a_new_one_gets_what_the_lost_one_had(self):
         a, b, c = Names(), Names(), Names()  # at 1, 2 and 3
         for nonce in range(4):
             a.add(9, nonce, "t", 8, 1.0)
         b.add(9, 9, "t", 8, 1.0)
-        b.take(1, a.parts(2, {"t"}))
-        a.take(2, b.parts(1, {"t"}))
+        b.take(1, a.parts(0.0, 2, {"t"}))
+        a.take(2, b.parts(0.0, 1, {"t"}))
         self.assertEqual((a.add(9, 10, "t", 8, 0), b.add(9, 10, "t", 8, 0)), ((5, 0), (5, 0)))
-        c.take(2, b.parts(3, {"t"}))  # the first is lost, the third in its place
+        c.take(2, b.parts(1.0, 3, {"t"}))  # the first is lost, the third in its place
         self.assertEqual(c.add(9, 11, "t", 8, 1.0), (5.0, 0.0))
-        b.take(3, c.parts(2, {"t"}))
+        b.take(3, c.parts(1.0, 2, {"t"}))
         self.assertEqual(b.add(9, 12, "t", 8, 0), (6.0, 0.0))
         again = Names()  # the first is back, empty
-        again.take(2, b.parts(1, {"t"}))
+        again.take(2, b.parts(2.0, 1, {"t"}))
         self.assertEqual(again.add(9, 13, "t", 8, 0), (6.0, 0.0))
 
 
