--- a/mapleline/policy/window.py
+++ b/mapleline/policy/window.py
@@ -45,6 +45,7 @@
 
     def over(self, before: float, previous: float, left: float) -> float | None:
         """None inside the limit; else seconds until there may be room."""
+        previous = min(previous, self.limit)  # what lies beyond was refused, and not taken off yet
         if estimate(previous, left, before) <= self.limit:
             return None
         return self.window * room_after(previous, left, before, self.limit)
--- a/mapleline/system/ledger.py
+++ b/mapleline/system/ledger.py
@@ -16,7 +16,7 @@
 SHARD = 16  # tenants: what two holders tell each other fits one datagram
 KEPT = 2  # windows for which a name lives
 NONCES = 4096
-MUCH, WHILE_S = 2.0, 0.2  # units, and seconds, after which the other holder is told
+MUCH, WHILE_S = 2, 0.2  # changes, and seconds, after which the other holder is told
 
 
 def shard_of(tenant: str, tenants: int) -> int:
@@ -39,28 +39,30 @@
 
 @dataclass(slots=True)
 class Name:
-    """One tenant's count in one window."""
+    """One tenant's count in one window: a row (version, count) for each holder that ever counted it.
 
-    own: float = 0.0  #: what this holder was asked for
-    told: dict[int, float] = field(default_factory=dict)  #: what other holders said they, and those before them, had
-    untold: float = 0.0  #: how much of it the other holder was not told
-    told_at: float = -1e9
-    told_to: int = 0
+    Rows are added up and never passed on as a sum: three holders that tell each other sums would count for ever.
+    """
+
+    rows: dict[int, tuple[int, float]] = field(default_factory=dict)
+    told: dict[int, tuple[int, float]] = field(default_factory=dict)  #: our row's version, and when, by who was told
 
     @property
     def total(self) -> float:
-        return self.own + sum(self.told.values())
+        return sum(count for _, count in self.rows.values())
 
-    def due(self, now: float, to: int) -> bool:
-        """Much is told at once, little in a while, all of it to a new holder."""
-        waited = now - self.told_at >= WHILE_S
-        return self.untold >= MUCH or self.untold > 0 and waited or to != self.told_to and self.total > 0
+    def due(self, now: float, me: int, to: int) -> bool:
+        """Much of our own row is told at once, little in a while, all of it to a new holder."""
+        version = self.rows.get(me, (0, 0.0))[0]
+        told, at = self.told.get(to, (-1, -1e9))
+        return version - told >= MUCH or version > told and now - at >= WHILE_S
 
 
 class Names:
     """The counts that this ingress holds."""
 
-    def __init__(self) -> None:
+    def __init__(self, me: int) -> None:
+        self.me = me
         self._names: dict[tuple[str, int], Name] = {}
         self._seen: set[tuple[int, int]] = set()
         self._order: deque[tuple[int, int]] = deque()
@@ -77,34 +79,36 @@
         """The count before, and that of the window before; a repeated nonce adds nothing."""
         previous = self._names.get((tenant, window - 1))
         name, before = self._name(tenant, window), previous.total if previous is not None else 0.0
+        count = name.total
         if (sender, nonce) in self._seen:
-            return max(0.0, name.total - units), before
+            return max(0.0, count - units), before
         self._seen.add((sender, nonce))
         self._order.append((sender, nonce))
         if len(self._order) > NONCES:
             self._seen.discard(self._order.popleft())
-        count = name.total
-        name.own = max(0.0, name.own + units)
-        name.untold += abs(units)
+        version, own = name.rows.get(self.me, (0, 0.0))
+        name.rows[self.me] = version + 1, max(0.0, own + units)
         return count, before
 
-    def take(self, sender: int, parts: list[Part]) -> None:
-        """What another holder counted; where we have nothing, also what it knows that we had."""
+    def take(self, parts: list[Part]) -> None:
+        """What another holder knows.  Of our own row it knows more only if we have lost it."""
         for part in parts:
-            fresh = (part.tenant, part.window) not in self._names
             name = self._name(part.tenant, part.window)
-            name.told[sender] = part.own
-            if fresh:
-                name.own = part.yours
-
-    def parts(self, now: float, to: int, tenants: set[str]) -> list[Part]:
-        """What the other holder is to be told of these tenants."""
+            for ip, version, count in part.rows:
+                held, own = name.rows.get(ip, (0, 0.0))
+                if version <= held:
+                    continue
+                if ip == self.me:
+                    version, count = version + 1, count + own
+                name.rows[ip] = version, count
+
+    def parts(self, now: float, to: int, tenants: set[str], all: bool = False) -> list[Part]:
+        """What another holder is to be told of these tenants; `all`: whether or not it is due."""
         found = []
         for (tenant, window), name in self._names.items():
-            if tenant in tenants and name.due(now, to):
-                name.untold, name.told_at, name.told_to = 0.0, now, to
-                others = sum(count for ip, count in name.told.items() if ip != to)
-                found.append(Part(tenant, window, name.own + others, name.told.get(to, 0.0)))
+            if tenant in tenants and (all or name.due(now, self.me, to)):
+                name.told[to] = name.rows.get(self.me, (0, 0.0))[0], now
+                found.append(Part(tenant, window, [(ip, *row) for ip, row in name.rows.items()]))
         return found
 
     def tenants(self) -> set[str]:
@@ -114,4 +118,4 @@
     def own(self, tenant: str, window: int) -> float:
         """What this holder itself was asked for."""
         name = self._names.get((tenant, window))
-        return name.own if name is not None else 0.0
+        return name.rows.get(self.me, (0, 0.0))[1] if name is not None else 0.0
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -58,18 +58,18 @@
 
 
 class Part(msgspec.Struct, array_like=True, frozen=True):
-    """Of one name: what the sender and those before it counted, and what it knows that the other did."""
+    """One name: what each holder counted, as (address, version, count); the higher version of a row wins."""
 
     tenant: str
     window: int
-    own: float
-    yours: float
+    rows: list[tuple[int, int, float]]
 
 
 class Parts(msgspec.Struct, array_like=True, tag=6):
-    """One holder to the other; answered by an empty one."""
+    """One holder to the other; answered by an empty one, which is itself not answered."""
 
     parts: list[Part]
+    answer: bool = False
 
 
 class Store(msgspec.Struct, array_like=True, tag=10):
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -42,7 +42,7 @@
         self.reactor, self.boot, self.register, self.send, self.tenants = reactor, boot, register, send, tenants
         self.zones = sorted(boot.zones)
         self.me = register.me
-        self.names = Names()
+        self.names = Names(register.me.ip)
         self.open: dict[int, _Open] = {}
         self.misses: dict[int, int] = {}
         self.suspect: dict[int, float] = {}
@@ -56,7 +56,9 @@
         able = []
         for m in self.register.alive(now):
             zone = self.zones[m.zone]
-            if not m.flags & LEAVING and (not homes or self.boot.zones[zone] in homes):
+            if m.flags & LEAVING or self.suspect.get(m.ip, -1.0) > now:
+                continue
+            if not homes or self.boot.zones[zone] in homes:
                 able.append((m.ip, m.zone, self.boot.zones[zone], m.disk))
         return holders(shard_of(tenant, self.tenants()), ",".join(homes), able)
 
@@ -71,9 +73,8 @@
     def ask(self, ask: Ask) -> None:
         """One consultation for one request."""
         homes = tuple(sorted(ask.homes))
-        now = self.reactor.seconds()
         order = self._holders(ask.tenancy.name, homes)
-        order.sort(key=lambda ip: (self.suspect.get(ip, -1.0) > now, self._distance(ip)))
+        order.sort(key=self._distance)
         if not order:
             ask.done(None)
             return
@@ -110,17 +111,18 @@
             self._missed(ip)
         self._decide(one, None)
 
-    def _decide(self, one: _Open, answer: tuple[float, float, float] | None) -> None:
+    def _decide(self, one: _Open, answer: tuple[float, float, float] | None, by: int = 0) -> None:
         self.open.pop(one.message.nonce, None)
         for timer in one.timers:
             if timer.active():
                 timer.cancel()
-        if one.ask.done(answer):
+        stays = {by} if one.ask.done(answer) else set()  # a refused try's units are taken off again
+        if one.asked <= stays:
             return
-        said = one.message  # a refused try's units are taken off again
+        said = one.message
         self.nonce = (self.nonce + 1) & 0x7FFFFFFF
         off = Tally(self.nonce, said.tenant, said.window, -said.units, said.homes, False)
-        for ip in one.asked:
+        for ip in one.asked - stays:
             if ip == self.me.ip:
                 self._count(ip, off)
             else:
@@ -138,9 +140,14 @@
             self._total(ip, message)
         else:
             self.unheard.pop(ip, None)
-            self.names.take(ip, message.parts)
-            if message.parts:
-                self.send(ip, Parts([]))
+            self.names.take(message.parts)
+            self.suspect.pop(ip, None)
+            if not message.answer:
+                tenants = {part.tenant for part in message.parts}
+                others = {ip for name in tenants for ip in self._holders(name, self.homes.get(name, ()))}
+                # who isn't a holder by our register counts for those who can't reach one: it gets the whole
+                known = [] if ip in others else self.names.parts(0.0, ip, tenants, all=True)
+                self.send(ip, Parts(known, answer=True))
 
     def _count(self, ip: int, message: Tally) -> Total:
         homes = self.homes[message.tenant] = tuple(message.homes)
@@ -157,7 +164,7 @@
         self.suspect.pop(ip, None)
         one = self.open.get(total.nonce)
         if one is not None and ip in one.asked:
-            self._decide(one, (total.before, total.previous, one.left))
+            self._decide(one, (total.before, total.previous, one.left), ip)
 
     def _tell(self) -> None:
         """Holders tell each other what they have counted."""
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -150,7 +150,7 @@
             self.assertLess((5 / tenancy.window + 1) * tenancy.limit, (rate * 5 + burst) * 1.1 + 20)
 
     def test_a_repeat_adds_nothing_and_a_refused_try_is_taken_off(self):
-        names = Names()
+        names = Names(1)
         self.assertEqual(names.add(1, 1, "t", 8, 1.0), (0.0, 0.0))
         self.assertEqual(names.add(2, 1, "t", 8, 1.0), (1.0, 0.0))
         self.assertEqual(names.add(2, 1, "t", 8, 1.0), (1.0, 0.0))
@@ -168,20 +168,25 @@
         self.assertEqual(len(holders(0, "", [(1, 0, "east", True), (2, 0, "east", False)])), 1)
 
     def test_holders_tell_each_other_and_a_new_one_gets_what_the_lost_one_had(self):
-        a, b, c = Names(), Names(), Names()  # at 1, 2 and 3
+        a, b, c = Names(1), Names(2), Names(3)
         for nonce in range(4):
             a.add(9, nonce, "t", 8, 1.0)
         b.add(9, 9, "t", 8, 1.0)
-        b.take(1, a.parts(0.0, 2, {"t"}))
-        a.take(2, b.parts(0.0, 1, {"t"}))
+        b.take(a.parts(0.0, 2, {"t"}))
+        a.take(b.parts(0.0, 1, {"t"}))
         self.assertEqual((a.add(9, 10, "t", 8, 0), b.add(9, 10, "t", 8, 0)), ((5, 0), (5, 0)))
-        c.take(2, b.parts(1.0, 3, {"t"}))  # the first is lost, the third in its place
+        c.take(b.parts(1.0, 3, {"t"}))  # the first is lost, the third in its place
         self.assertEqual(c.add(9, 11, "t", 8, 1.0), (5.0, 0.0))
-        b.take(3, c.parts(1.0, 2, {"t"}))
-        self.assertEqual(b.add(9, 12, "t", 8, 0), (6.0, 0.0))
-        again = Names()  # the first is back, empty
-        again.take(2, b.parts(2.0, 1, {"t"}))
-        self.assertEqual(again.add(9, 13, "t", 8, 0), (6.0, 0.0))
+        for _ in range(5):  # told round and round, nothing counts twice
+            b.take(c.parts(1.0, 2, {"t"}, all=True))
+            a.take(b.parts(1.0, 1, {"t"}, all=True))
+            c.take(a.parts(1.0, 3, {"t"}, all=True))
+        self.assertEqual([names.add(9, 12, "t", 8, 0) for names in (a, b, c)], [(6.0, 0.0)] * 3)
+        again = Names(1)  # the first is back, empty, and has counted one since
+        again.add(9, 13, "t", 8, 1.0)
+        again.take(b.parts(2.0, 1, {"t"}, all=True))
+        b.take(again.parts(2.0, 2, {"t"}))
+        self.assertEqual([names.add(9, 14, "t", 8, 0) for names in (again, b)], [(7.0, 0.0)] * 2)
 
 
 class TestVerdict(unittest.TestCase):
