--- a/mapleline/policy/window.py
+++ b/mapleline/policy/window.py
@@ -37,12 +37,28 @@
         longest = allowed / (EVEN * rate) - quota_window  # a longer one bears more chance, and less of the rate
         self.window = min(max(longest, quota_window / 10), quota_window / 2)
         self.limit = allowed / (quota_window / self.window + 1)
+        self.let_in = self.turned_away = 0.0  #: tries here, each window worth half of the one after it
+        self._at = 0.0
 
     def place(self, unix: float) -> tuple[int, float]:
         """Number of the window at that time of day, and the share of it that is left."""
         number, into = divmod(unix, self.window)
         return int(number), 1.0 - into / self.window
 
+    def judge(self, before: float, previous: float, left: float, now: float) -> float | None:
+        """As `over`, and remembers.  The wait counts those turned away before, who will come back as well: each
+        window has room for so many of them.
+        """
+        fade = 0.5 ** ((now - self._at) / self.window)
+        self.let_in, self.turned_away, self._at = self.let_in * fade, self.turned_away * fade, now
+        wait = self.over(before, previous, left)
+        if wait is None:
+            self.let_in += 1
+            return None
+        wait += self.window * self.turned_away / max(1.0, self.let_in)
+        self.turned_away += 1
+        return wait
+
     def over(self, before: float, previous: float, left: float) -> float | None:
         """None inside the limit; else seconds until there may be room."""
         previous = min(previous, self.limit)  # what lies beyond was refused, and not taken off yet
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -220,7 +220,7 @@
             call.refuse(503, BACK_S, b"quota unknown")
             return False
         before, previous, left = answer
-        over = tenancy.over(before, previous, left)
+        over = tenancy.judge(before, previous, left, self.reactor.seconds())
         if over is not None:
             self.count("over")
             call.refuse(429, over, b"over quota")
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -149,6 +149,16 @@
             self.assertGreaterEqual(tenancy.limit / tenancy.window, min(rate, 1.05 * rate) * 0.99, rate)
             self.assertLess((5 / tenancy.window + 1) * tenancy.limit, (rate * 5 + burst) * 1.1 + 20)
 
+    def test_who_is_turned_away_is_told_to_wait_for_those_before(self):
+        tenancy, waits = Tenancy("t", 18, 18, 5.0, 0.1, 20), []
+        for n in range(6):
+            self.assertIsNone(tenancy.judge(n, 0, 0.5, 100.0))
+        for _ in range(12):
+            waits.append(tenancy.judge(tenancy.limit + 1, 0, 0.5, 100.0))
+        self.assertAlmostEqual(waits[0], 0.5 * tenancy.window)
+        self.assertAlmostEqual(waits[6], 1.5 * tenancy.window)
+        self.assertLess(tenancy.judge(tenancy.limit + 1, 0, 0.5, 100.0 + 9 * tenancy.window), 0.6 * tenancy.window)
+
     def test_a_repeat_adds_nothing_and_a_refused_try_is_taken_off(self):
         names = Names(1)
         self.assertEqual(names.add(1, 1, "t", 8, 1.0), (0.0, 0.0))
