--- a/mapleline/system/archive.py
+++ b/mapleline/system/archive.py
@@ -84,13 +84,22 @@
         self.losses = losses
         self.core = 0  #: size of the core, as far as is known
         self.told: dict[int, float] = {}  #: by machine of the core: when we asked what we now hold
+        self.relayed = float("-inf")  #: the same certainty at second hand
 
     def agree(self, ip: int, asked: float) -> None:
         """That machine, asked at that time, held nothing newer than is held here now."""
         self.told[ip] = max(asked, self.told.get(ip, -1e9))
 
+    def relay(self, asked: float, age: float) -> None:
+        """Another ingress, asked at that time, held nothing newer, and was certain of what is that old.
+
+        The age counts from the question: the answer was given no earlier.
+        """
+        self.relayed = max(self.relayed, asked - age)
+
     def since(self) -> float:
         """Everything acknowledged before this moment is held here; minus infinity if that isn't known."""
         need = read_quorum(self.core, self.losses)
         times = sorted(self.told.values(), reverse=True)
-        return times[need - 1] if self.core and len(times) >= need else float("-inf")
+        own = times[need - 1] if self.core and len(times) >= need else float("-inf")
+        return max(own, self.relayed)
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -18,18 +18,22 @@
 
 
 class Probe(msgspec.Struct, array_like=True, tag=2):
-    """Asks a machine of the core what it holds."""
+    """Asks a machine of the core, or another ingress that can reach it, what it holds."""
 
     nonce: int
 
 
 class Held(msgspec.Struct, array_like=True, tag=3):
-    """The answer; who is not formed (an empty disk) counts for nothing."""
+    """The answer; who is not formed (an empty disk) counts for nothing in a quorum.
+
+    `age_ms`: what was acknowledged that long ago is held here for certain; negative if that isn't known.
+    """
 
     nonce: int
     formed: bool
     core: list[int]
     marks: list[Mark]
+    age_ms: int = -1
 
 
 class Tally(msgspec.Struct, array_like=True, tag=4):
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -36,7 +36,7 @@
 
 BEAT_S = 0.5
 BUSY_S = 0.05
-PROBE_S, PROBE_HASTE_S = 1.0, 0.15
+PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 SWEEP_S = 0.5
 FORM_QUIET_S, FORM_LEAST_S, FORM_MOST_S = 1.0, 1.5, 5.0
 LEASE_MARGIN_S = 0.3
@@ -219,7 +219,9 @@
                 self._list_news(ip, message, now)
             case Probe():
                 core = self.noted if self.formed else self.register.core()
-                self.datagrams.send(ip, Held(message.nonce, self.formed, core, self.word.marks()))
+                age = now - self.lease.since()
+                age_ms = int(age * 1000) + 1 if age < 60 else -1
+                self.datagrams.send(ip, Held(message.nonce, self.formed, core, self.word.marks(), age_ms))
             case Held():
                 self._held(ip, message, now)
             case Busy():
@@ -258,7 +260,11 @@
         now = self.reactor.seconds()
         self._core_news(now)
         self.probes = {nonce: sent for nonce, sent in self.probes.items() if now - sent[1] < 5}
-        for ip in self.register.core():
+        asked = self.register.core()
+        if now - self.lease.since() > 2 * PROBE_S:  # the core is out of reach: others may reach it
+            others = [m.ip for m in self.register.alive(now) if not m.disk and m.ip != self.register.me.ip]
+            asked += self.rng.sample(others, min(RELAYS, len(others)))
+        for ip in asked:
             if ip == self.register.me.ip:
                 if self.formed:
                     self.lease.agree(ip, now)
@@ -270,7 +276,7 @@
 
     def _held(self, ip: int, held: Held, now: float) -> None:
         asked = self.probes.pop(held.nonce, None)
-        if asked is None or asked[0] != ip or not held.formed:
+        if asked is None or asked[0] != ip or not held.formed and held.age_ms < 0:
             return
         self.lease.core = max(self.lease.core, len(held.core))
         lacking = self.word.lacks(held.marks)
@@ -280,9 +286,13 @@
             self._agree(ip, held, asked[1])
 
     def _agree(self, ip: int, held: Held, asked: float) -> None:
-        if not self.word.lacks(held.marks):
+        if self.word.lacks(held.marks):
+            return
+        if held.formed:
             self.lease.agree(ip, asked)
-            self._confirmed()
+        if held.age_ms >= 0:
+            self.lease.relay(asked, held.age_ms / 1000)
+        self._confirmed()
 
     def _confirmed(self) -> None:
         since = self.lease.since()
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -106,6 +106,8 @@
         lease.agree(3, 9.0)
         lease.agree(1, 7.0)  # an answer that came by a detour
         self.assertEqual(lease.since(), 9.0)
+        lease.relay(asked=12.0, age=2.5)  # cut off from the core, by way of one that isn't
+        self.assertEqual(lease.since(), 9.5)
 
 
 class TestRegister(unittest.TestCase):
