--- a/mapleline/system/control.py
+++ b/mapleline/system/control.py
@@ -97,7 +97,7 @@
         node, now = self.node, self.node.reactor.seconds()
         held = {e.key: e.version for e in node.word.entries.values()}
         body = {
-            "node": node.boot.node_name, "ready": bool(node.flags() & 1), "formed": node.formed, "word": held,
+            "node": node.boot.node_name, "ready": bool(node.flags() & 1), "formed": node.seat.formed, "word": held,
             "ingresses": len(node.register.alive(now)), "core": node.register.core(),
             "lease_age_s": round(now - node.lease.since(), 3) if node.lease.since() > -1e9 else None,
             "servers": len(node.catalogue.instances), "counts": node.desk.counts,
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -15,8 +15,8 @@
 
 from ..http1.buffers import BufferPool
 from ..http1.messages import Request
-from . import archive, courier, messages
-from .archive import CONFIG, Entry, Lease, Word
+from . import courier, messages
+from .archive import CONFIG, Entry
 from .catalogue import Catalogue
 from .config import ConfigFault, Table
 from .config import read as read_config
@@ -28,6 +28,7 @@
 from .messages import Beat, Busy, Held, Parts, Probe, Pull, Pulled, Store, Stored, Tally, Total
 from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
+from .seat import Put, Seat
 from .servers import Servers
 from .settings import Boot, SettingsFault
 from .settings import read as read_settings
@@ -38,7 +39,6 @@
 BUSY_S = 0.05
 PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 SWEEP_S = 0.5
-FORM_QUIET_S, FORM_LEAST_S, FORM_MOST_S = 1.0, 1.5, 5.0
 LEASE_MARGIN_S = 0.3
 CALL_S = 1.5
 
@@ -52,17 +52,15 @@
         self.zones = sorted(boot.zones)
         self.rng = random.Random(boot.node_name + str(time.time_ns()))
         self.started = reactor.seconds()
-        self.losses = boot.fault_tolerance.machine_losses
         self.leaving = False
         me = Member(courier.number(boot.ip_address), self.zones.index(boot.zone), DISK if boot.data_directory else 0,
                     incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
         self.register = Register(me, BEAT_S)
-        self.word, self.lease = Word(), Lease(self.losses)
+        disk = bool(boot.data_directory)
+        self.seat = Seat(me.ip, disk, boot.fault_tolerance.machine_losses, boot.initial_start)
+        self.word, self.lease = self.seat.word, self.seat.lease
         self.catalogue = Catalogue()
-        self.durable: dict[str, archive.Stamp] = {}
         self.shelf = Shelf(boot.data_directory) if boot.data_directory else None
-        self.formed, self.noted = False, []
-        self.probes: dict[int, tuple[int, float]] = {}
         self.waiting: list[tuple[float, Deferred]] = []
         self.pulling: set[str] = set()
         self.nonce = self.rng.getrandbits(30)
@@ -111,14 +109,9 @@
             return say("archive", "disk cannot be read", error=str(err))
         for fault in bad:
             say("archive", "bad file", file=fault)
-        for entry in entries:
-            self.word.offer(entry)
-            self.durable[entry.key] = entry.stamp
-        if note is not None:
-            self.formed = True
-            self.noted = [ip for ip, _ in note.core]
-            for ip, zone in note.core:
-                self.register.know(ip, zone, DISK)
+        self.seat.load(entries, [ip for ip, _ in note.core] if note is not None else None)
+        for ip, zone in note.core if note is not None else ():
+            self.register.know(ip, zone, DISK)
         self.apply()
 
     def leave(self) -> None:
@@ -154,7 +147,7 @@
 
     def flags(self) -> int:
         ready = self.may_serve() and not self.leaving and bool(self.catalogue.instances)
-        return READY * ready | LEAVING * self.leaving | DISK * (self.shelf is not None) | FORMED * self.formed
+        return READY * ready | LEAVING * self.leaving | DISK * (self.shelf is not None) | FORMED * self.seat.formed
 
     def readiness(self, door: Door, request: Request) -> None:
         door.reply(200 if self.flags() & READY else 503)
@@ -218,10 +211,9 @@
                 self.pull(ip, self.word.lacks(message.marks))
                 self._list_news(ip, message, now)
             case Probe():
-                core = self.noted if self.formed else self.register.core()
-                age = now - self.lease.since()
+                formed, core, marks, age = self.seat.answer(now, self.register.core())
                 age_ms = int(age * 1000) + 1 if age < 60 else -1
-                self.datagrams.send(ip, Held(message.nonce, self.formed, core, self.word.marks(), age_ms))
+                self.datagrams.send(ip, Held(message.nonce, formed, core, marks, age_ms))
             case Held():
                 self._held(ip, message, now)
             case Busy():
@@ -244,11 +236,11 @@
         core = self.register.core()
         if len(core) != self.core_seen[0]:
             self.core_seen = (len(core), now)
-        self.lease.core = max(self.lease.core, len(core))
+        self.seat.count(core)
 
     def probe(self) -> None:
         """Often while a lease is wanting, and at leisure while it is fresh."""
-        unformed = self.shelf is not None and not self.formed
+        unformed = self.shelf is not None and not self.seat.formed
         wanting = unformed or self.reactor.seconds() - self.lease.since() > 2 * PROBE_S
         every = PROBE_S * self.rng.uniform(0.9, 1.1) if not wanting else PROBE_HASTE_S
         self.reactor.callLater(every, self.probe)
@@ -259,40 +251,33 @@
         """Ask every machine of the core what it holds."""
         now = self.reactor.seconds()
         self._core_news(now)
-        self.probes = {nonce: sent for nonce, sent in self.probes.items() if now - sent[1] < 5}
         asked = self.register.core()
         if now - self.lease.since() > 2 * PROBE_S:  # the core is out of reach: others may reach it
             others = [m.ip for m in self.register.alive(now) if not m.disk and m.ip != self.register.me.ip]
             asked += self.rng.sample(others, min(RELAYS, len(others)))
         for ip in asked:
             if ip == self.register.me.ip:
-                if self.formed:
-                    self.lease.agree(ip, now)
-                    self._confirmed()
+                self.seat.ask_self(now)
+                self._confirmed()
                 continue
             self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-            self.probes[self.nonce] = (ip, now)
+            self.seat.ask(self.nonce, ip, now)
             self.datagrams.send(ip, Probe(self.nonce))
 
     def _held(self, ip: int, held: Held, now: float) -> None:
-        asked = self.probes.pop(held.nonce, None)
-        if asked is None or asked[0] != ip or not held.formed and held.age_ms < 0:
+        asked = self.seat.told(held.nonce, ip, held.formed, held.core, held.age_ms >= 0)
+        if asked is None:
             return
-        self.lease.core = max(self.lease.core, len(held.core))
         lacking = self.word.lacks(held.marks)
         if lacking:
-            self.pull(ip, lacking, then=lambda: self._agree(ip, held, asked[1]))
+            self.pull(ip, lacking, then=lambda: self._agree(ip, held, asked))
         else:
-            self._agree(ip, held, asked[1])
+            self._agree(ip, held, asked)
 
     def _agree(self, ip: int, held: Held, asked: float) -> None:
-        if self.word.lacks(held.marks):
-            return
-        if held.formed:
-            self.lease.agree(ip, asked)
-        if held.age_ms >= 0:
-            self.lease.relay(asked, held.age_ms / 1000)
-        self._confirmed()
+        age = held.age_ms / 1000 if held.age_ms >= 0 else None
+        if self.seat.agree(ip, held.formed, held.marks, age, asked):
+            self._confirmed()
 
     def _confirmed(self) -> None:
         since = self.lease.since()
@@ -328,18 +313,14 @@
         """A machine of the core counts once it knows the core, and what the core was told before."""
         if self.shelf is None:
             return
-        now, core = self.reactor.seconds(), self.register.core()
-        if self.formed:
-            if set(core) - set(self.noted):
+        now, core, seat = self.reactor.seconds(), self.register.core(), self.seat
+        zones = {m.zone for m in self.register.members.values() if m.disk}
+        if seat.formed:
+            if set(core) - set(seat.noted):
                 self._note(core)
-            return
-        if self.boot.initial_start and not self.durable:
-            lived, quiet = now - self.started, now - self.core_seen[1]
-            zones = {m.zone for m in self.register.members.values() if m.disk}
-            whole = len(zones) == len(self.zones) or lived > FORM_MOST_S
-            if lived > FORM_LEAST_S and quiet > FORM_QUIET_S and whole:
-                self._note(core)
-        elif self.lease.since() > self.started:
+        elif seat.may_found(now - self.started, now - self.core_seen[1], len(zones) == len(self.zones)):
+            self._note(core)
+        elif seat.may_join(self.started):
             entries = list(self.word.entries.values())
             done = deferToThread(lambda: [self.shelf.save(entry) for entry in entries])
             done.addCallbacks(lambda _: (self._saved(entries), self._note(core)), self._disk_fault)
@@ -348,15 +329,15 @@
         note = CoreNote([(ip, self.register.members[ip].zone) for ip in core])
 
         def noted(_: object) -> None:
-            if not self.formed:
+            if not self.seat.formed:
                 say("archive", "formed", core=len(core))
-            self.formed, self.noted = True, core
+            self.seat.formed, self.seat.noted = True, core
 
         deferToThread(self.shelf.save_core, note).addCallbacks(noted, self._disk_fault)
 
     def _saved(self, entries: list[Entry]) -> None:
         for entry in entries:
-            self.durable[entry.key] = max(entry.stamp, self.durable.get(entry.key, (-1, "")))
+            self.seat.kept(entry)
 
     def _disk_fault(self, reason: Any) -> None:
         say("archive", "disk refused", error=reason.getErrorMessage())
@@ -377,9 +358,9 @@
 
     def keep(self, entry: Entry) -> Any:
         """Synced to this machine's disk, or something newer is: a reply or a Deferred of one."""
-        if self.shelf is None or not self.formed and self.boot.initial_start:
+        if not self.seat.takes:
             return Stored(False)
-        if self.durable.get(entry.key, (-1, "")) >= entry.stamp:
+        if self.seat.has_kept(entry):
             return Stored(True)
 
         def kept(_: object) -> Stored:
@@ -390,11 +371,7 @@
             self._disk_fault(reason)
             return Stored(False)
 
-        return deferToThread(self._save_newer, entry).addCallbacks(kept, refused)
-
-    def _save_newer(self, entry: Entry) -> None:
-        if self.durable.get(entry.key, (-1, "")) < entry.stamp:
-            self.shelf.save(entry)
+        return deferToThread(self.shelf.save, entry).addCallbacks(kept, refused)
 
     def take_entry(self, entry: Entry) -> bool:
         """News of the operator's word, from wherever."""
@@ -423,20 +400,21 @@
         """Fires with whether the entry, or what outranks it, stands on a write quorum."""
         done: Deferred = Deferred()
         core = self.register.core()
-        size = max(len(core), self.lease.core)
-        need = archive.write_quorum(size, self.losses)
+        need = self.seat.quorum(len(core))
         if sum(self.register.members[ip].flags & FORMED > 0 for ip in core) < need:
             done.callback(False)  # nobody knows yet how many the core are
             return done
-        kept: set[int] = set()
+        put = Put(need)
         end = self.reactor.seconds() + timeout_s
         self.take_entry(entry)
 
         def stored(reply: Any, ip: int) -> None:
             if isinstance(reply, Stored) and reply.ok:
-                kept.add(ip)
-                if len(kept) >= need and not done.called:
+                again = put.stored(ip, self.reactor.seconds())
+                if again is None and not done.called:
                     done.callback(True)
+                for other in again or ():
+                    store(other)
             elif not done.called:
                 self.reactor.callLater(0.3, store, ip)
 
@@ -477,7 +455,7 @@
             if not isinstance(reply, Pulled):
                 return
             for entry in reply.entries:
-                if self.take_entry(entry) and self.shelf is not None and self.formed:
+                if self.take_entry(entry) and self.seat.formed:
                     self.keep(entry)
             if reply.list_body:
                 fetched = self.reactor.seconds() - reply.list_age_ms / 1000
--- a/mapleline/system/shelf.py
+++ b/mapleline/system/shelf.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 import os
+import threading
 from pathlib import Path
 from zlib import crc32
 
 import msgspec
 
-from .archive import Entry
+from .archive import Entry, Stamp
 
 MAGIC = b"mapleline word 1\n"
 
@@ -59,6 +60,8 @@
 
     def __init__(self, folder: str) -> None:
         self.folder = Path(folder) / "word"
+        self._lock = threading.Lock()  # threads save; a slow one must not lay an older entry over a newer
+        self._written: dict[str, Stamp] = {}
 
     def load(self) -> tuple[list[Entry], CoreNote | None, list[str]]:
         """Registers, the note on the core, and what could not be read."""
@@ -71,14 +74,20 @@
                 if path.name == "core":
                     note = msgspec.msgpack.decode(read(path), type=CoreNote)
                 else:
-                    entries.append(msgspec.msgpack.decode(read(path), type=Entry))
+                    entry = msgspec.msgpack.decode(read(path), type=Entry)
+                    entries.append(entry)
+                    self._written[entry.key] = entry.stamp
             except (BadFile, msgspec.DecodeError, OSError) as err:
                 bad.append(f"{path.name}: {err}")
         return entries, None if bad else note, bad
 
     def save(self, entry: Entry) -> None:
-        """Lasting once this returns.  Raises OSError."""
-        write(self.folder / ("r-" + entry.key.encode().hex()), msgspec.msgpack.encode(entry))
+        """This, or what is newer, is lasting once this returns.  Raises OSError."""
+        with self._lock:
+            if self._written.get(entry.key, (-1, "")) < entry.stamp:
+                write(self.folder / ("r-" + entry.key.encode().hex()), msgspec.msgpack.encode(entry))
+                self._written[entry.key] = entry.stamp
 
     def save_core(self, note: CoreNote) -> None:
-        write(self.folder / "core", msgspec.msgpack.encode(note))
+        with self._lock:
+            write(self.folder / "core", msgspec.msgpack.encode(note))
