--- a/tests/system/test_core_model.py
+++ b/tests/system/test_core_model.py
@@ -132,6 +132,7 @@
         for ip in (first, second):
             self.store(0, ip)
         self.wipe(first)
+        self.now += 0.05
         self.ask_some(first, [third, last], 2)
         self.join()
         self.store(0, third)
