--- a/mapleline/system/ledger.py
+++ b/mapleline/system/ledger.py
@@ -16,7 +16,8 @@
 SHARD = 16  # tenants: what two holders tell each other fits one datagram
 KEPT = 2  # windows for which a name lives
 NONCES = 4096
-MUCH, WHILE_S = 2, 0.2  # changes, and seconds, after which the other holder is told
+MUCH, MUCH_PART = 2, 0.07  # changes, and part of a limit, after which the other holder is told at once
+WHILE_S = 0.3  # and in any case
 
 
 def shard_of(tenant: str, tenants: int) -> int:
@@ -45,6 +46,7 @@
     """
 
     rows: dict[int, tuple[int, float]] = field(default_factory=dict)
+    limit: float = 0.0  #: as an ingress that asked last knew it
     told: dict[int, tuple[int, float]] = field(default_factory=dict)  #: our row's version, and when, by who was told
 
     @property
@@ -55,7 +57,7 @@
         """Much of our own row is told at once, little in a while, all of it to a new holder."""
         version = self.rows.get(me, (0, 0.0))[0]
         told, at = self.told.get(to, (-1, -1e9))
-        return version - told >= MUCH or version > told and now - at >= WHILE_S
+        return version - told >= max(MUCH, MUCH_PART * self.limit) or version > told and now - at >= WHILE_S
 
 
 class Names:
@@ -75,11 +77,13 @@
             name = self._names[tenant, window] = Name()
         return name
 
-    def add(self, sender: int, nonce: int, tenant: str, window: int, units: float) -> tuple[float, float]:
+    def add(
+        self, sender: int, nonce: int, tenant: str, window: int, units: float, limit: float = 0.0
+    ) -> tuple[float, float]:
         """The count before, and that of the window before; a repeated nonce adds nothing."""
         previous = self._names.get((tenant, window - 1))
         name, before = self._name(tenant, window), previous.total if previous is not None else 0.0
-        count = name.total
+        count, name.limit = name.total, limit
         if (sender, nonce) in self._seen:
             return max(0.0, count - units), before
         self._seen.add((sender, nonce))
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -44,6 +44,7 @@
     window: int
     units: float
     homes: list[str]
+    limit: float  #: of one window: how exact the count has to be
     ask: bool = True
 
 
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -35,7 +35,7 @@
 from .shelf import CoreNote, Shelf
 from .teller import Teller
 
-BEAT_S = 0.5
+BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
 PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 SWEEP_S = 0.5
@@ -52,6 +52,7 @@
         self.zones = sorted(boot.zones)
         self.rng = random.Random(boot.node_name + str(time.time_ns()))
         self.started = reactor.seconds()
+        self.near = {n for n, zone in enumerate(self.zones) if boot.zones[zone] == boot.region}
         self.leaving = False
         me = Member(courier.number(boot.ip_address), self.zones.index(boot.zone), DISK if boot.data_directory else 0,
                     incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
@@ -169,7 +170,7 @@
         self.register.tick(now, self.flags())
         others = self.register.alive(now)
         beat = self._beat()
-        for ip in self.register.watchers(now):
+        for ip in self.register.watchers(now, self.near, self.beats % FAR_BEATS == 0):
             self.datagrams.send(ip, beat)
         if len(others) < 3 or self.beats % 8 == 0:
             missing = self.register.missing(now)
--- a/mapleline/system/register.py
+++ b/mapleline/system/register.py
@@ -100,12 +100,20 @@
         """Machines with a disk, alive or not."""
         return sorted(m.ip for m in self.members.values() if m.disk)
 
-    def watchers(self, now: float) -> list[int]:
-        """To whom the next beat goes: the next on the ring, a third and two thirds round it."""
-        ring = sorted(self.alive(now), key=lambda m: (m.place, m.ip))
+    def watchers(self, now: float, near: set[int], far: bool) -> list[int]:
+        """To whom the next beat goes: on the ring of the near zones the next one and one half round it, and, where
+        `far`, the next of all the others.  Links between regions are dear.
+        """
+        ring = sorted((m for m in self.alive(now) if m.zone in near), key=lambda m: (m.place, m.ip))
+        found = self._next(ring, {1, 1 + len(ring) // 2})
+        if far:
+            others = [m for m in self.alive(now) if m.zone not in near] + [self.me]
+            found += self._next(sorted(others, key=lambda m: (m.place, m.ip)), {1})
+        return found
+
+    def _next(self, ring: list[Member], steps: set[int]) -> list[int]:
         at = next((n for n, m in enumerate(ring) if m.ip == self.me.ip), 0)
         n = len(ring)
-        steps = {1, 1 + n // 3, 1 + 2 * n // 3}
         return [ring[(at + step) % n].ip for step in sorted(steps) if n and (at + step) % n != at]
 
     def missing(self, now: float) -> list[int]:
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -80,7 +80,7 @@
             return
         window, left = ask.tenancy.place(time.time())
         self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-        one = _Open(ask, Tally(self.nonce, ask.tenancy.name, window, 1.0, list(homes)), left, order)
+        one = _Open(ask, Tally(self.nonce, ask.tenancy.name, window, 1.0, list(homes), ask.tenancy.limit), left, order)
         self.open[self.nonce] = one
         self._send(one, order[0])
         if self.nonce in self.open:
@@ -121,7 +121,7 @@
             return
         said = one.message
         self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-        off = Tally(self.nonce, said.tenant, said.window, -said.units, said.homes, False)
+        off = Tally(self.nonce, said.tenant, said.window, -said.units, said.homes, said.limit, False)
         for ip in one.asked - stays:
             if ip == self.me.ip:
                 self._count(ip, off)
@@ -151,7 +151,8 @@
 
     def _count(self, ip: int, message: Tally) -> Total:
         homes = self.homes[message.tenant] = tuple(message.homes)
-        before, previous = self.names.add(ip, message.nonce, message.tenant, message.window, message.units)
+        name = message.tenant, message.window
+        before, previous = self.names.add(ip, message.nonce, *name, message.units, message.limit)
         now = self.reactor.seconds()
         if self.unheard and any(now - self.unheard.get(other, now) > SILENT_S
                                 for other in self._holders(message.tenant, homes)):  # fmt: skip
