--- a/mapleline/system/lookup.py
+++ b/mapleline/system/lookup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -19,12 +20,17 @@
 TTL_S = 2.0
 
 
-def near(members: list[Member], zones: list[str], regions: dict[str, str], zone: str, region: str) -> list[Member]:
-    """Those in the zone; with fewer than `ENOUGH` there those of the region as well, else all."""
+def near(
+    members: list[Member], zones: list[str], regions: dict[str, str], zone: str, region: str, rng: Random
+) -> list[Member]:
+    """Those in the zone and one besides, for a zone may be lost at once; with fewer than `ENOUGH` there those of the
+    region, else all.
+    """
     found = [m for m in members if zones[m.zone] == zone]
+    beside = [m for m in members if zones[m.zone] != zone and regions[zones[m.zone]] == region]
     if len(found) >= ENOUGH:
-        return found
-    found = [m for m in members if regions[zones[m.zone]] == region]
+        return found + (rng.sample(beside, 1) if beside else [])
+    found += beside
     return found if len(found) >= ENOUGH else members
 
 
@@ -35,7 +41,8 @@
         return door.reply(404, b"no such call")
     asked = parse_qs(query)
     members = [m for m in node.register.alive(node.reactor.seconds(), READY) if not m.flags & LEAVING]
-    found = near(members, node.zones, node.boot.zones, asked.get("zone", [""])[0], asked.get("region", [""])[0])
+    where = (asked.get(name, [""])[0] for name in ("zone", "region"))
+    found = near(members, node.zones, node.boot.zones, *where, node.rng)
     if not found or node.boot.listen_addresses.front_addr is None:
         return door.reply(503, b"no ingress is ready", b"Retry-After: 0.3\r\n")
     port = node.boot.listen_addresses.front_addr[1]
