--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -11,6 +11,7 @@
 NEAR, FAR = 0.1, 0.3  # usual answer times that another zone, another region, must be better by
 NEAR_KB, FAR_KB = 0.008, 0.06  # the same for each kilobyte that goes there and back: links between regions are dear
 TOLD_S = 0.6  # a told load is worth less and less; after this long a third of it is left
+KEPT = 0.5  # usual answer times that the last slot of a kept region costs
 AGAIN = 6.0  # usual answer times that a server already tried must be better by
 SLOW_GAIN = 0.15  # weight of the newest answer in a server's slowness
 HOLD_S, HOLD_MOST_S = 0.5, 4.0  # nothing goes to a server that could not be reached; doubled each time
@@ -63,15 +64,19 @@
 
 def choose(
     now: float, targets: Iterable[Target], zone: str, region: str, tried: Iterable[str], rng: random.Random,
-    kilobytes: float = 0.0,
+    kilobytes: float = 0.0, kept: Iterable[str] = (),
 ) -> Target | None:  # fmt: skip
-    """Least expected time to an answer, in usual answer times, with the way there priced by what goes over it."""
+    """Least expected time to an answer, in usual answer times, with the way there priced by what goes over it.
+
+    `kept`: regions whose last slots are left to requests that may go nowhere else.
+    """
     best, best_cost = None, 0.0
     near, far = NEAR + NEAR_KB * kilobytes, FAR + FAR_KB * kilobytes
     for t in targets:
         load = t.load(now)
         cost = expected(t.slow, max(0.0, load + 1 - t.slots) / t.slots + 0.1 * load / t.slots, rng)
         cost += 0.0 if t.zone == zone else near if t.region == region else far
+        cost += KEPT * ((load + 1) / t.slots) ** 2 if t.region in kept else 0.0
         cost += AGAIN if t.id in tried else 0.0
         cost += AGAIN if now < t.hold else 0.0
         if best is None or cost < best_cost:
--- a/mapleline/system/config.py
+++ b/mapleline/system/config.py
@@ -127,6 +127,10 @@
     def __init__(self, config: Config) -> None:
         self.config, self.version = config, config.config_version
         self.limits, self.services, self.tenants = config.limits, config.service_table, config.tenant_table
+        self.homes: dict[str, set[str]] = {}  #: by service: regions that some of its requests may not leave
+        for route in config.route_table.values():
+            for service, _ in route.shares:
+                self.homes.setdefault(service, set()).update(route.home_regions)
         hosts: dict[str, list[tuple[str, str, Route]]] = {}
         for name, route in config.route_table.items():
             hosts.setdefault(route.host_name.lower(), []).append((route.path_prefix, name, route))
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -246,9 +246,11 @@
         if not self.may_serve() or not self._still_allowed(call):
             return None if call.attempts else self._give_up(call, False)
         left = call.end_at - now
-        targets = self.usable(call.service, self._homes(call), now) if left > LEAST_S else []
+        homes = self._homes(call)
+        targets = self.usable(call.service, homes, now) if left > LEAST_S else []
         kilobytes = (len(call.request.body) + self.sizes.get(self._key(call), 0.0)) / 1000
-        best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng, kilobytes)
+        kept = self.table.homes.get(call.service, ()) if homes is None else ()
+        best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng, kilobytes, kept)
         if best is None:
             self.count("no_server")
             return None if call.attempts else self._give_up(call, False)
