--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -11,6 +11,7 @@
 NEAR, FAR = 0.1, 0.3  # usual answer times that another zone, another region, must be better by
 NEAR_KB, FAR_KB = 0.008, 0.06  # the same for each kilobyte that goes there and back: links between regions are dear
 TOLD_S = 0.6  # a told load is worth less and less; after this long a third of it is left
+TAIL = 2.0  # usual answer times that most answers take less than
 KEPT = 0.5  # usual answer times that the last slot of a kept region costs
 AGAIN = 6.0  # usual answer times that a server already tried must be better by
 SLOW_GAIN = 0.15  # weight of the newest answer in a server's slowness
@@ -44,6 +45,10 @@
         left = 0.33 ** ((now - self.told_at) / TOLD_S) if now - self.told_at < 10 else 0.0
         return max(known, known + (self.told - known) * left)
 
+    def wait(self, now: float) -> float:
+        """Usual answer times before one more would be begun with."""
+        return self.slow * max(0.0, self.load(now) + 1 - self.slots) / self.slots
+
     def failed(self, now: float) -> None:
         """It could not be reached, or broke off: held off longer with each time in a row."""
         self.hold = now + min(HOLD_MOST_S, HOLD_S * 2**self.fails)
@@ -62,6 +67,14 @@
         return self.cold_store >= 1.0
 
 
+def too_late(wait: float, usual: float, aim: float) -> bool:
+    """Whether a first try had better come again: its answer would miss the aim, and everybody's behind it as well.
+
+    `wait`: in usual answer times; `usual`, `aim`: seconds.
+    """
+    return wait * usual > max(0.5 * usual, aim - TAIL * usual)
+
+
 def choose(
     now: float, targets: Iterable[Target], zone: str, region: str, tried: Iterable[str], rng: random.Random,
     kilobytes: float = 0.0, kept: Iterable[str] = (),
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -8,7 +8,7 @@
 from zlib import crc32
 
 from ..http1.messages import Request
-from ..policy.placing import Target, choose
+from ..policy.placing import Target, choose, too_late
 from ..policy.window import Ask, Tenancy
 from . import verdict
 from .catalogue import Catalogue, Instance
@@ -24,6 +24,8 @@
 OWN = HOP | {b"authorization", b"tenant", b"deadline-ms", b"expect-instance", b"host"}
 MARGIN_S = 0.03  # before the deadline, for the answer's way back
 LEAST_S = 0.02  # with less left nothing is sent
+AGAIN_PART = 0.97  # of the longest deadline: with less a try is not the first
+BACK_MOST_S = 0.5
 BACK_S = 0.3  # when to come back where nothing better is known
 BUDGET_PART = 0.7  # of a further try's ratio is spent: what others count may lag
 NEAR_S = 3.0  # what another has out is believed so long
@@ -36,8 +38,8 @@
 class Call:
     """One request in hand."""
 
-    __slots__ = ("arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request", "route",
-                 "sent", "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
+    __slots__ = ("again", "arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request",
+                 "route", "sent", "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
 
     def __init__(self, desk: Desk, door: Door, request: Request, now: float) -> None:
         self.desk, self.door, self.request, self.arrived = desk, door, request, now
@@ -91,6 +93,7 @@
         self.targets: dict[str, Target] = {}
         self.calls: set[Call] = set()
         self.usual: dict[tuple[str, str], float] = {}  #: answer time by service and prefix
+        self.longest: dict[str, float] = {}  #: deadlines of first tries, by prefix
         self.sizes: dict[tuple[str, str], float] = {}  #: bytes of an answer, likewise
         self.near: dict[int, tuple[float, dict[int, int]]] = {}  #: what others of the region have out
         self.told: dict[int, int] = {}
@@ -188,6 +191,8 @@
         said = headers.get(b"deadline-ms", b"")
         wait = min(route.timeout, int(said) / 1000 if said.isdigit() else route.timeout)
         call.end_at = now + wait - MARGIN_S
+        longest = self.longest[route.path_prefix] = max(wait, self.longest.get(route.path_prefix, 0.0))
+        call.again = wait < AGAIN_PART * longest  # a later try has what the earlier ones left of the deadline
         call.service = self._service(route)
         earned = BUDGET_PART * self.boot.protocol_bounds.retry_budget_ratio
         credit = self.credit.get(call.service, self._slack() / 2)
@@ -254,12 +259,17 @@
         if best is None:
             self.count("no_server")
             return None if call.attempts else self._give_up(call, False)
+        usual, wait = self._usual(call), best.wait(now)
+        if call.sent == 0 and not call.again and too_late(wait, usual, call.route.target_latency):
+            self.count("full")
+            return call.refuse(503, min(BACK_MOST_S, wait * usual), b"full")
         one = self.catalogue.instances[best.id]
         if self.is_cold(one, now):
             best.cold_store -= 1.0
         call.tried.append(best.id)
         data = self._head(call, one, left)
         attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a))
+        attempt.free = wait == 0.0
         call.attempts.append(attempt)
         call.sent += 1
         if call.kind == "idempotent" and call.hedge is None:
@@ -352,7 +362,7 @@
             return
         took, usual, key = now - attempt.sent_at, self._usual(call), self._key(call)
         target.answered(took / usual)
-        if response.status < 500:
+        if response.status < 500 and attempt.free:
             self.usual[key] = usual + USUAL_GAIN * (took - usual)
             size = self.sizes.get(key, len(response.body))
             self.sizes[key] = size + USUAL_GAIN * (len(response.body) - size)
--- a/mapleline/system/servers.py
+++ b/mapleline/system/servers.py
@@ -27,7 +27,7 @@
 class Attempt:
     """One sending of one request to one server.  `done(attempt)` is called once."""
 
-    __slots__ = ("carrier", "done", "id", "response", "sent_at", "target", "verdict", "why", "written", "data")
+    __slots__ = ("carrier", "done", "free", "id", "response", "sent_at", "target", "verdict", "why", "written", "data")
 
     def __init__(self, id: bytes, target: Target, data: bytes, done: Callable[[Attempt], None]) -> None:
         self.id, self.target, self.data, self.done = id, target, data, done
@@ -36,6 +36,7 @@
         self.verdict = Verdict.NEVER
         self.written = False  #: a byte of it may have gone out
         self.sent_at = 0.0
+        self.free = True  #: a slot was likely free when it was sent
         self.why = ""  #: "answer", "unreachable", "lost", "spoilt" or "called off"
 
     def end(self, why: str, response: Response | None = None) -> None:
