--- a/mapleline/system/control.py
+++ b/mapleline/system/control.py
@@ -31,11 +31,11 @@
             case "POST", ["config", "replace"]:
                 self.replace(door, request.body)
             case "GET", ["config", "read"]:
-                self.node.confirm().addCallback(lambda known: self.read(door, known))
+                self.node.scribe.confirm().addCallback(lambda known: self.read(door, known))
             case "POST", ["evacuations", zone, "begin" | "finish" as order]:
                 if zone not in self.node.boot.zones:
                     return door.reply(404, b"no such zone")
-                self.node.confirm().addCallback(lambda known: self.evacuate(door, zone, order, known))
+                self.node.scribe.confirm().addCallback(lambda known: self.evacuate(door, zone, order, known))
             case "GET", ["status"]:
                 self.status(door)
             case _:
@@ -57,7 +57,7 @@
             else:
                 self._unsure(door)
 
-        node.put(entry, PUT_SHARE * node.bounds.ack_timeout).addCallback(put)
+        node.scribe.put(entry, PUT_SHARE * node.bounds.ack_timeout).addCallback(put)
 
     def replace(self, door: Door, body: bytes) -> None:
         """A whole configuration; one no higher than what is held is acknowledged, and alters nothing."""
@@ -97,7 +97,8 @@
         node, now = self.node, self.node.reactor.seconds()
         held = {e.key: e.version for e in node.word.entries.values()}
         body = {
-            "node": node.boot.node_name, "ready": bool(node.flags() & 1), "formed": node.seat.formed, "word": held,
+            "node": node.boot.node_name, "ready": bool(node.flags() & 1),
+            "formed": node.scribe.seat.formed, "word": held,
             "ingresses": len(node.register.alive(now)), "core": node.register.core(),
             "lease_age_s": round(now - node.lease.since(), 3) if node.lease.since() > -1e9 else None,
             "servers": len(node.catalogue.instances), "counts": node.desk.counts,
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -10,13 +10,10 @@
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.threads import deferToThread
-
 from ..http1.buffers import BufferPool
 from ..http1.messages import Request
 from . import courier, messages
-from .archive import CONFIG, Entry
+from .archive import CONFIG
 from .catalogue import Catalogue
 from .config import ConfigFault, Table
 from .config import read as read_config
@@ -25,22 +22,19 @@
 from .doors import Door, House
 from .log import configure, say
 from .lookup import answer as lookup_answer
-from .messages import Beat, Busy, Held, Parts, Probe, Pull, Pulled, Store, Stored, Tally, Total
+from .messages import Beat, Busy, Held, Parts, Probe, Tally, Total
 from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
-from .seat import Put, Seat
+from .scribe import Scribe
 from .servers import Servers
 from .settings import Boot, SettingsFault
 from .settings import read as read_settings
-from .shelf import CoreNote, Shelf
 from .teller import Teller
 
 BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
-PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 SWEEP_S = 0.5
 LEASE_MARGIN_S = 0.3
-CALL_S = 1.5
 
 
 class Node:
@@ -57,20 +51,17 @@
         me = Member(courier.number(boot.ip_address), self.zones.index(boot.zone), DISK if boot.data_directory else 0,
                     incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
         self.register = Register(me, BEAT_S)
-        disk = bool(boot.data_directory)
-        self.seat = Seat(me.ip, disk, boot.fault_tolerance.machine_losses, boot.initial_start)
-        self.word, self.lease = self.seat.word, self.seat.lease
         self.catalogue = Catalogue()
-        self.shelf = Shelf(boot.data_directory) if boot.data_directory else None
-        self.waiting: list[tuple[float, Deferred]] = []
-        self.pulling: set[str] = set()
-        self.nonce = self.rng.getrandbits(30)
         self.beats = 0
-        self.core_seen = (0, self.started)
         pool = BufferPool()
         self.servers = Servers(reactor, pool)
         self.port = boot.internal_port_range[0]
         self.datagrams = courier.Datagrams(self.port, self.told)
+        self.scribe = Scribe(
+            reactor, boot, self.register, self.rng, self.datagrams.send, self.apply, self.push, self.give_list,
+            self.take_list,
+        )  # fmt: skip
+        self.word, self.lease = self.scribe.word, self.scribe.lease
         self.teller = Teller(reactor, boot, self.register, self.datagrams.send, self.tenants)
         self.desk = Desk(
             reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.teller.ask, self.rng
@@ -83,10 +74,10 @@
     # -- start and end -------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        self.load()
+        self.scribe.load()
         boot, listen = self.boot, self.boot.listen_addresses
         self.reactor.listenUDP(self.port, self.datagrams, interface=boot.ip_address, maxPacketSize=65536)
-        self.reactor.listenTCP(self.port, courier.AnswerFactory(self.called), interface=boot.ip_address)
+        self.reactor.listenTCP(self.port, courier.AnswerFactory(self.scribe.called), interface=boot.ip_address)
         pool = self.front.pool
         for place, take in ((listen.ready_addr, self.readiness), (listen.control_addr, self.control.take),
                             (listen.directory_addr, self.directory)):  # fmt: skip
@@ -96,24 +87,10 @@
                 self.reactor.listenTCP(place[1], house, backlog=256, interface=place[0])
         if listen.front_addr is not None:
             self.reactor.listenTCP(listen.front_addr[1], self.front, backlog=1024, interface=listen.front_addr[0])
-        for tick in (self.beat, self.probe, self.sweep, self.poll, self.tell_busy):
+        for tick in (self.beat, self.scribe.probe, self.sweep, self.poll, self.tell_busy):
             tick()
-        say("node", "started", zone=boot.zone, disk=bool(self.shelf), initial=boot.initial_start)
+        say("node", "started", zone=boot.zone, disk=bool(boot.data_directory), initial=boot.initial_start)
 
-    def load(self) -> None:
-        """What an earlier life left on the disk."""
-        if self.shelf is None:
-            return
-        try:
-            entries, note, bad = self.shelf.load()
-        except OSError as err:
-            return say("archive", "disk cannot be read", error=str(err))
-        for fault in bad:
-            say("archive", "bad file", file=fault)
-        self.seat.load(entries, [ip for ip, _ in note.core] if note is not None else None)
-        for ip, zone in note.core if note is not None else ():
-            self.register.know(ip, zone, DISK)
-        self.apply()
 
     def leave(self) -> None:
         """SIGTERM: out of the directory first, then what is in hand, then gone."""
@@ -148,7 +125,7 @@
 
     def flags(self) -> int:
         ready = self.may_serve() and not self.leaving and bool(self.catalogue.instances)
-        return READY * ready | LEAVING * self.leaving | DISK * (self.shelf is not None) | FORMED * self.seat.formed
+        return READY * ready | LEAVING * self.leaving | DISK * self.register.me.disk | FORMED * self.scribe.seat.formed
 
     def readiness(self, door: Door, request: Request) -> None:
         door.reply(200 if self.flags() & READY else 503)
@@ -206,17 +183,17 @@
         match message:
             case Beat():
                 fresh = self.register.merge(now, message.rows)
-                self._core_news(now)
+                self.scribe.core_news(now)
                 if message.reply or fresh and self.beats > 0:
                     self.datagrams.send(ip, self._beat())
-                self.pull(ip, self.word.lacks(message.marks))
+                self.scribe.pull(ip, self.word.lacks(message.marks))
                 self._list_news(ip, message, now)
             case Probe():
-                formed, core, marks, age = self.seat.answer(now, self.register.core())
+                formed, core, marks, age = self.scribe.seat.answer(now, self.register.core())
                 age_ms = int(age * 1000) + 1 if age < 60 else -1
                 self.datagrams.send(ip, Held(message.nonce, formed, core, marks, age_ms))
             case Held():
-                self._held(ip, message, now)
+                self.scribe.held(ip, message)
             case Busy():
                 self.desk.heard(ip, message.out, now)
             case Tally() | Total() | Parts():
@@ -229,157 +206,11 @@
         if beat.list_digest == self.catalogue.digest:
             self.catalogue.same_at(fetched, beat.list_digest)
         else:
-            self.pull(ip, [], True)
-
-    # -- the core, and leases ------------------------------------------------------------------------------
-
-    def _core_news(self, now: float) -> None:
-        core = self.register.core()
-        if len(core) != self.core_seen[0]:
-            self.core_seen = (len(core), now)
-        self.seat.count(core)
-
-    def probe(self) -> None:
-        """Often while a lease is wanting, and at leisure while it is fresh."""
-        unformed = self.shelf is not None and not self.seat.formed
-        wanting = unformed or self.reactor.seconds() - self.lease.since() > 2 * PROBE_S
-        every = PROBE_S * self.rng.uniform(0.9, 1.1) if not wanting else PROBE_HASTE_S
-        self.reactor.callLater(every, self.probe)
-        self.ask_core()
-        self.form()
-
-    def ask_core(self) -> None:
-        """Ask every machine of the core what it holds."""
-        now = self.reactor.seconds()
-        self._core_news(now)
-        asked = self.register.core()
-        if now - self.lease.since() > 2 * PROBE_S:  # the core is out of reach: others may reach it
-            others = [m.ip for m in self.register.alive(now) if not m.disk and m.ip != self.register.me.ip]
-            asked += self.rng.sample(others, min(RELAYS, len(others)))
-        for ip in asked:
-            if ip == self.register.me.ip:
-                self.seat.ask_self(now)
-                self._confirmed()
-                continue
-            self.nonce = (self.nonce + 1) & 0x7FFFFFFF
-            self.seat.ask(self.nonce, ip, now)
-            self.datagrams.send(ip, Probe(self.nonce))
-
-    def _held(self, ip: int, held: Held, now: float) -> None:
-        asked = self.seat.told(held.nonce, ip, held.formed, held.core, held.age_ms >= 0)
-        if asked is None:
-            return
-        lacking = self.word.lacks(held.marks)
-        if lacking:
-            self.pull(ip, lacking, then=lambda: self._agree(ip, held, asked))
-        else:
-            self._agree(ip, held, asked)
-
-    def _agree(self, ip: int, held: Held, asked: float) -> None:
-        age = held.age_ms / 1000 if held.age_ms >= 0 else None
-        if self.seat.agree(ip, held.formed, held.marks, age, asked):
-            self._confirmed()
-
-    def _confirmed(self) -> None:
-        since = self.lease.since()
-        waiting, self.waiting = self.waiting, []
-        for at, done in waiting:
-            if since >= at:
-                done.callback(True)
-            else:
-                self.waiting.append((at, done))
+            self.scribe.pull(ip, [], True)
 
-    def confirm(self, timeout_s: float = 1.5) -> Deferred:
-        """Fires with whether what is held is now known to be the newest acknowledged."""
-        now = self.reactor.seconds()
-        done: Deferred = Deferred()
-        pair = (now, done)
-        self.waiting.append(pair)
-
-        def again() -> None:
-            if pair in self.waiting:
-                self.ask_core()
-
-        def late() -> None:
-            if pair in self.waiting:
-                self.waiting.remove(pair)
-                done.callback(False)
-
-        self.reactor.callLater(timeout_s / 3, again)
-        self.reactor.callLater(timeout_s, late)
-        self.ask_core()
-        return done
-
-    def form(self) -> None:
-        """A machine of the core counts once it knows the core, and what the core was told before."""
-        if self.shelf is None:
-            return
-        now, core, seat = self.reactor.seconds(), self.register.core(), self.seat
-        zones = {m.zone for m in self.register.members.values() if m.disk}
-        if seat.formed:
-            if set(core) - set(seat.noted):
-                self._note(core)
-        elif seat.may_found(now - self.started, now - self.core_seen[1], len(zones) == len(self.zones)):
-            self._note(core)
-        elif seat.may_join(self.started):
-            entries = list(self.word.entries.values())
-            done = deferToThread(lambda: [self.shelf.save(entry) for entry in entries])
-            done.addCallbacks(lambda _: (self._saved(entries), self._note(core)), self._disk_fault)
-
-    def _note(self, core: list[int]) -> None:
-        note = CoreNote([(ip, self.register.members[ip].zone) for ip in core])
-
-        def noted(_: object) -> None:
-            if not self.seat.formed:
-                say("archive", "formed", core=len(core))
-            self.seat.formed, self.seat.noted = True, core
-
-        deferToThread(self.shelf.save_core, note).addCallbacks(noted, self._disk_fault)
-
-    def _saved(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            self.seat.kept(entry)
-
-    def _disk_fault(self, reason: Any) -> None:
-        say("archive", "disk refused", error=reason.getErrorMessage())
 
     # -- the operator's word -------------------------------------------------------------------------------
 
-    def called(self, call: messages.Call) -> Any:
-        match call:
-            case Store():
-                self.take_entry(call.entry)
-                return self.keep(call.entry)
-            case Pull():
-                entries = [e for key in call.keys if (e := self.word.entries.get(key)) is not None]
-                now = self.reactor.seconds()
-                if call.servers and self.catalogue.digest:
-                    return Pulled(entries, self.catalogue.body, self.catalogue.age_ms(now))
-                return Pulled(entries)
-
-    def keep(self, entry: Entry) -> Any:
-        """Synced to this machine's disk, or something newer is: a reply or a Deferred of one."""
-        if not self.seat.takes:
-            return Stored(False)
-        if self.seat.has_kept(entry):
-            return Stored(True)
-
-        def kept(_: object) -> Stored:
-            self._saved([entry])
-            return Stored(True)
-
-        def refused(reason: Any) -> Stored:
-            self._disk_fault(reason)
-            return Stored(False)
-
-        return deferToThread(self.shelf.save, entry).addCallbacks(kept, refused)
-
-    def take_entry(self, entry: Entry) -> bool:
-        """News of the operator's word, from wherever."""
-        if not self.word.offer(entry):
-            return False
-        self.apply(entry.key)
-        return True
 
     def apply(self, key: str | None = None) -> None:
         """Put what is held in force."""
@@ -397,76 +228,16 @@
         for zone in before - self.desk.evacuated:
             self.desk.cooling[zone] = self.reactor.seconds() + self.boot.cloud_api.max_lag + 2.0
 
-    def put(self, entry: Entry, timeout_s: float) -> Deferred:
-        """Fires with whether the entry, or what outranks it, stands on a write quorum."""
-        done: Deferred = Deferred()
-        core = self.register.core()
-        need = self.seat.quorum(len(core))
-        if sum(self.register.members[ip].flags & FORMED > 0 for ip in core) < need:
-            done.callback(False)  # nobody knows yet how many the core are
-            return done
-        put = Put(need)
-        end = self.reactor.seconds() + timeout_s
-        self.take_entry(entry)
-
-        def stored(reply: Any, ip: int) -> None:
-            if isinstance(reply, Stored) and reply.ok:
-                again = put.stored(ip, self.reactor.seconds())
-                if again is None and not done.called:
-                    done.callback(True)
-                for other in again or ():
-                    store(other)
-            elif not done.called:
-                self.reactor.callLater(0.3, store, ip)
-
-        def store(ip: int) -> None:
-            if done.called or self.reactor.seconds() > end:
-                return
-            if ip == self.register.me.ip:
-                reply = self.keep(entry)
-                if not isinstance(reply, Deferred):
-                    return stored(reply, ip)
-            else:
-                reply = courier.call(self.reactor, ip, self.port, Store(entry), CALL_S)
-            reply.addBoth(stored, ip)
 
-        def late() -> None:
-            if not done.called:
-                done.callback(False)
+    def give_list(self) -> tuple[bytes, int]:
+        """The list of servers and its age, for another ingress."""
+        now = self.reactor.seconds()
+        return (self.catalogue.body, self.catalogue.age_ms(now)) if self.catalogue.digest else (b"", 0)
 
-        for ip in core:
-            store(ip)
-        self.reactor.callLater(timeout_s, late)
-        self.push()
-        return done
-
-    def pull(self, ip: int, keys: list[str], servers: bool = False, then: Any = None) -> None:
-        """Fetch what is lacking from who has it."""
-        keys = [key for key in keys if key not in self.pulling or then is not None]
-        if servers and "servers" in self.pulling:
-            servers = False
-        if not keys and not servers:
-            return
-        marked = set(keys) | ({"servers"} if servers else set())
-        self.pulling |= marked
-        asked = self.reactor.seconds()
-
-        def pulled(reply: Any) -> None:
-            self.pulling -= marked
-            if not isinstance(reply, Pulled):
-                return
-            for entry in reply.entries:
-                if self.take_entry(entry) and self.seat.formed:
-                    self.keep(entry)
-            if reply.list_body:
-                fetched = self.reactor.seconds() - reply.list_age_ms / 1000
-                fetched = min(fetched, asked + 0.5)
-                if self.catalogue.take_body(fetched, reply.list_body):
-                    self.desk.refresh()
-            if then is not None:
-                then()
-
-        courier.call(self.reactor, ip, self.port, Pull(keys, servers), CALL_S).addBoth(pulled)
+    def take_list(self, fetched: float, body: bytes) -> None:
+        """The list as another ingress has it."""
+        if self.catalogue.take_body(fetched, body):
+            self.desk.refresh()
 
     # -- the platform's list -------------------------------------------------------------------------------
 
--- /dev/null
+++ b/mapleline/system/scribe.py
@@ -0,0 +1,271 @@
+"""Keeps the operator's word: drives a `Seat` with the disk, the other ingresses and the clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.threads import deferToThread
+
+from . import courier, messages
+from .archive import Entry
+from .log import say
+from .messages import Held, Probe, Pull, Pulled, Store, Stored
+from .register import DISK, FORMED, Register
+from .seat import Put, Seat
+from .settings import Boot
+from .shelf import CoreNote, Shelf
+
+PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
+CALL_S = 1.5
+
+
+class Scribe:
+    """`in_force(key)` is called when something newer is held, `push()` tells all; lists of servers travel along."""
+
+    def __init__(
+        self, reactor: Any, boot: Boot, register: Register, rng: random.Random,
+        send: Callable[[int, messages.Datagram], None], in_force: Callable[[str | None], None],
+        push: Callable[[], None], give_list: Callable[[], tuple[bytes, int]], take_list: Callable[[float, bytes], None],
+    ) -> None:  # fmt: skip
+        self.reactor, self.boot, self.register, self.rng = reactor, boot, register, rng
+        self.send, self.in_force, self.push, self.give_list, self.take_list = send, in_force, push, give_list, take_list
+        self.port, self.started = boot.internal_port_range[0], reactor.seconds()
+        losses = boot.fault_tolerance.machine_losses
+        self.seat = Seat(register.me.ip, bool(boot.data_directory), losses, boot.initial_start)
+        self.word, self.lease = self.seat.word, self.seat.lease
+        self.shelf = Shelf(boot.data_directory) if boot.data_directory else None
+        self.waiting: list[tuple[float, Deferred]] = []
+        self.pulling: set[str] = set()
+        self.nonce = rng.getrandbits(30)
+        self.core_seen = (0, self.started)
+
+    def load(self) -> None:
+        """What an earlier life left on the disk."""
+        if self.shelf is None:
+            return
+        try:
+            entries, note, bad = self.shelf.load()
+        except OSError as err:
+            return say("archive", "disk cannot be read", error=str(err))
+        for fault in bad:
+            say("archive", "bad file", file=fault)
+        self.seat.load(entries, [ip for ip, _ in note.core] if note is not None else None)
+        for ip, zone in note.core if note is not None else ():
+            self.register.know(ip, zone, DISK)
+        self.in_force(None)
+
+    def core_news(self, now: float) -> None:
+        """The register may know of more machines with a disk."""
+        core = self.register.core()
+        if len(core) != self.core_seen[0]:
+            self.core_seen = (len(core), now)
+        self.seat.count(core)
+
+    def probe(self) -> None:
+        """Often while a lease is wanting, and at leisure while it is fresh."""
+        unformed = self.shelf is not None and not self.seat.formed
+        wanting = unformed or self.reactor.seconds() - self.lease.since() > 2 * PROBE_S
+        every = PROBE_S * self.rng.uniform(0.9, 1.1) if not wanting else PROBE_HASTE_S
+        self.reactor.callLater(every, self.probe)
+        self.ask_core()
+        self.form()
+
+    def ask_core(self) -> None:
+        """Ask every machine of the core what it holds."""
+        now = self.reactor.seconds()
+        self.core_news(now)
+        asked = self.register.core()
+        if now - self.lease.since() > 2 * PROBE_S:  # the core is out of reach: others may reach it
+            others = [m.ip for m in self.register.alive(now) if not m.disk and m.ip != self.register.me.ip]
+            asked += self.rng.sample(others, min(RELAYS, len(others)))
+        for ip in asked:
+            if ip == self.register.me.ip:
+                self.seat.ask_self(now)
+                self._confirmed()
+                continue
+            self.nonce = (self.nonce + 1) & 0x7FFFFFFF
+            self.seat.ask(self.nonce, ip, now)
+            self.send(ip, Probe(self.nonce))
+
+    def held(self, ip: int, held: Held) -> None:
+        """What another one holds; fetched first where we lack it."""
+        asked = self.seat.told(held.nonce, ip, held.formed, held.core, held.age_ms >= 0)
+        if asked is None:
+            return
+        lacking = self.word.lacks(held.marks)
+        if lacking:
+            self.pull(ip, lacking, then=lambda: self._agree(ip, held, asked))
+        else:
+            self._agree(ip, held, asked)
+
+    def _agree(self, ip: int, held: Held, asked: float) -> None:
+        age = held.age_ms / 1000 if held.age_ms >= 0 else None
+        if self.seat.agree(ip, held.formed, held.marks, age, asked):
+            self._confirmed()
+
+    def _confirmed(self) -> None:
+        since = self.lease.since()
+        waiting, self.waiting = self.waiting, []
+        for at, done in waiting:
+            if since >= at:
+                done.callback(True)
+            else:
+                self.waiting.append((at, done))
+
+    def confirm(self, timeout_s: float = 1.5) -> Deferred:
+        """Fires with whether what is held is now known to be the newest acknowledged."""
+        now = self.reactor.seconds()
+        done: Deferred = Deferred()
+        pair = (now, done)
+        self.waiting.append(pair)
+
+        def again() -> None:
+            if pair in self.waiting:
+                self.ask_core()
+
+        def late() -> None:
+            if pair in self.waiting:
+                self.waiting.remove(pair)
+                done.callback(False)
+
+        self.reactor.callLater(timeout_s / 3, again)
+        self.reactor.callLater(timeout_s, late)
+        self.ask_core()
+        return done
+
+    def form(self) -> None:
+        """A machine of the core counts once it knows the core, and what the core was told before."""
+        if self.shelf is None:
+            return
+        now, core, seat = self.reactor.seconds(), self.register.core(), self.seat
+        zones = {m.zone for m in self.register.members.values() if m.disk}
+        if seat.formed:
+            if set(core) - set(seat.noted):
+                self._note(core)
+        elif seat.may_found(now - self.started, now - self.core_seen[1], len(zones) == len(self.boot.zones)):
+            self._note(core)
+        elif seat.may_join(self.started):
+            entries = list(self.word.entries.values())
+            done = deferToThread(lambda: [self.shelf.save(entry) for entry in entries])
+            done.addCallbacks(lambda _: (self._saved(entries), self._note(core)), self._disk_fault)
+
+    def _note(self, core: list[int]) -> None:
+        note = CoreNote([(ip, self.register.members[ip].zone) for ip in core])
+
+        def noted(_: object) -> None:
+            if not self.seat.formed:
+                say("archive", "formed", core=len(core))
+            self.seat.formed, self.seat.noted = True, core
+
+        deferToThread(self.shelf.save_core, note).addCallbacks(noted, self._disk_fault)
+
+    def _saved(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            self.seat.kept(entry)
+
+    def _disk_fault(self, reason: Any) -> None:
+        say("archive", "disk refused", error=reason.getErrorMessage())
+
+    def called(self, call: messages.Call) -> Any:
+        match call:
+            case Store():
+                self.take_entry(call.entry)
+                return self.keep(call.entry)
+            case Pull():
+                entries = [e for key in call.keys if (e := self.word.entries.get(key)) is not None]
+                return Pulled(entries, *self.give_list()) if call.servers else Pulled(entries)
+
+    def keep(self, entry: Entry) -> Any:
+        """Synced to this machine's disk, or something newer is: a reply or a Deferred of one."""
+        if not self.seat.takes:
+            return Stored(False)
+        if self.seat.has_kept(entry):
+            return Stored(True)
+
+        def kept(_: object) -> Stored:
+            self._saved([entry])
+            return Stored(True)
+
+        def refused(reason: Any) -> Stored:
+            self._disk_fault(reason)
+            return Stored(False)
+
+        return deferToThread(self.shelf.save, entry).addCallbacks(kept, refused)
+
+    def take_entry(self, entry: Entry) -> bool:
+        """News of the operator's word, from wherever."""
+        if not self.word.offer(entry):
+            return False
+        self.in_force(entry.key)
+        return True
+
+    def put(self, entry: Entry, timeout_s: float) -> Deferred:
+        """Fires with whether the entry, or what outranks it, stands on a write quorum."""
+        done: Deferred = Deferred()
+        core = self.register.core()
+        need = self.seat.quorum(len(core))
+        if sum(self.register.members[ip].flags & FORMED > 0 for ip in core) < need:
+            done.callback(False)  # nobody knows yet how many the core are
+            return done
+        put = Put(need)
+        end = self.reactor.seconds() + timeout_s
+        self.take_entry(entry)
+
+        def stored(reply: Any, ip: int) -> None:
+            if isinstance(reply, Stored) and reply.ok:
+                again = put.stored(ip, self.reactor.seconds())
+                if again is None and not done.called:
+                    done.callback(True)
+                for other in again or ():
+                    store(other)
+            elif not done.called:
+                self.reactor.callLater(0.3, store, ip)
+
+        def store(ip: int) -> None:
+            if done.called or self.reactor.seconds() > end:
+                return
+            if ip == self.register.me.ip:
+                reply = self.keep(entry)
+                if not isinstance(reply, Deferred):
+                    return stored(reply, ip)
+            else:
+                reply = courier.call(self.reactor, ip, self.port, Store(entry), CALL_S)
+            reply.addBoth(stored, ip)
+
+        def late() -> None:
+            if not done.called:
+                done.callback(False)
+
+        for ip in core:
+            store(ip)
+        self.reactor.callLater(timeout_s, late)
+        self.push()
+        return done
+
+    def pull(self, ip: int, keys: list[str], servers: bool = False, then: Any = None) -> None:
+        """Fetch what is lacking from who has it."""
+        keys = [key for key in keys if key not in self.pulling or then is not None]
+        if servers and "servers" in self.pulling:
+            servers = False
+        if not keys and not servers:
+            return
+        marked = set(keys) | ({"servers"} if servers else set())
+        self.pulling |= marked
+        asked = self.reactor.seconds()
+
+        def pulled(reply: Any) -> None:
+            self.pulling -= marked
+            if not isinstance(reply, Pulled):
+                return
+            for entry in reply.entries:
+                if self.take_entry(entry) and self.seat.formed:
+                    self.keep(entry)
+            if reply.list_body:
+                self.take_list(asked - reply.list_age_ms / 1000, reply.list_body)
+            if then is not None:
+                then()
+
+        courier.call(self.reactor, ip, self.port, Pull(keys, servers), CALL_S).addBoth(pulled)
