--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -89,7 +89,7 @@
         load = t.load(now)
         cost = expected(t.slow, max(0.0, load + 1 - t.slots) / t.slots + 0.1 * load / t.slots, rng)
         cost += 0.0 if t.zone == zone else near if t.region == region else far
-        cost += KEPT * ((load + 1) / t.slots) ** 2 if t.region in kept else 0.0
+        cost += KEPT * min(1.0, (load + 1) / t.slots) ** 2 if t.region in kept else 0.0
         cost += AGAIN if t.id in tried else 0.0
         cost += AGAIN if now < t.hold else 0.0
         if best is None or cost < best_cost:
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -231,7 +231,7 @@
             call.refuse(429, over, b"over quota")
             return False
         self._dispatch(call)
-        return True
+        return call.sent > 0
 
     def _slack(self) -> float:
         """This ingress's part of the fleet's slack: half of it divided by all that are known."""
--- /dev/null
+++ b/tests/system/desk_world.py
@@ -0,0 +1,120 @@
+"""A desk among stand-ins, on a clock of its own: what is told and said becomes a transcript."""
+
+import random
+from pathlib import Path
+
+from twisted.internet.task import Clock
+
+from mapleline.http1.messages import Request, Response
+from mapleline.system import config, settings
+from mapleline.system.catalogue import Catalogue, Listed
+from mapleline.system.desk import Desk
+from mapleline.system.register import READY, Member, Register
+from mapleline.system.servers import Servers
+
+APPROVED = Path(__file__).parent / "approved"
+
+
+def approve(case, name, lines):
+    """The transcript is the approved one, word for word; a new one lies beside it to be read."""
+    text, path = "\n".join(lines) + "\n", APPROVED / f"{name}.txt"
+    if not path.exists() or path.read_text() != text:
+        path.with_suffix(".received").write_text(text)
+        case.assertEqual(text, path.read_text() if path.exists() else "", f"{name}: see {path}.received")
+
+
+class Door:
+    """A client's connection."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+
+    def reply(self, status, body=b"", lines=b""):
+        fields = " ".join(sorted(line for line in lines.decode().split("\r\n") if line))
+        self.world.say(f"{self.name} <- {status} {body.decode()} {fields}".strip())
+
+
+class Lines(Servers):
+    """Servers that never answer by themselves; the address says which is which."""
+
+    def __init__(self, world):
+        super().__init__(world.clock, None)
+        self.world, self.out = world, {}
+
+    def send(self, attempt, address):
+        attempt.target.out += 1
+        attempt.written, attempt.sent_at = True, self.world.clock.seconds()
+        self.out[attempt.target.id] = [*self.out.pop(attempt.target.id, []), attempt]
+        head = attempt.data.decode().replace("\r\n", " | ").rstrip(" |")
+        self.world.say(f"-> {attempt.target.id}  {head}")
+
+    def drop(self, target):
+        self.world.say(f"nothing is kept at {target.id}")
+
+
+class World:
+    """One ingress in z1 of region r1, three servers, and what a test tells them."""
+
+    def __init__(self, boot, whole, servers, answers_for=None):
+        self.clock, self.lines, self.lists = Clock(), [], 0
+        self.clock.advance(100.0)
+        self.serving = True
+        boot = settings.read(boot)
+        self.register = Register(Member(1, 0, READY, beat=100.0), 1e6)
+        self.catalogue = Catalogue()
+        self.servers = Lines(self)
+        self.asks = []
+        self.desk = Desk(self.clock, boot, self.register, self.catalogue, self.servers, lambda: self.serving,
+                         self.asks.append, random.Random(7))  # fmt: skip
+        self.desk.table = config.Table(config.read(whole))
+        self.list(servers)
+
+    def say(self, text):
+        self.lines.append(f"{self.clock.seconds() - 100.0:6.2f}  {text}")
+
+    def list(self, servers):
+        """(id, service, zone) and what else the platform's list says of each."""
+        found = [Listed(id, service, f"10.9.0.{n}:80", zone, **more)
+                 for n, (id, service, zone, more) in enumerate(servers, 1)]  # fmt: skip
+        self.lists += 1
+        self.catalogue.take_list(self.clock.seconds() + 1e-6 * self.lists, found)
+        self.desk.refresh()
+
+    def ask(self, name, method=b"GET", path=b"/one/x", key=b"k1", **fields):
+        """A client's request."""
+        headers = {b"host": b"a.example", b"request-id": name.encode(), b"deadline-ms": b"3000"}
+        if key:
+            headers[b"authorization"] = b"Bearer " + key
+        headers.update({k.encode().replace(b"_", b"-"): v for k, v in fields.items()})
+        self.say(f"{name} -> {method.decode()} {path.decode()}")
+        body = b"scan" if method == b"POST" else b""
+        return self.desk.take(Door(self, name), Request(method, path, headers, body, True))
+
+    def count(self, before=0.0, previous=0.0, left=0.5, silent=False):
+        """The tally's holder answers the oldest question, or doesn't."""
+        stays = self.asks.pop(0).done(None if silent else (before, previous, left))
+        self.say(f"tally: {'silent' if silent else before}, the units {'stay' if stays else 'are taken off'}")
+
+    def out(self):
+        """The server that was sent to last and has not answered."""
+        return [id for id, out in self.servers.out.items() if out][-1]
+
+    def answer(self, status=200, id=None, **fields):
+        """The server answers the oldest request it has."""
+        id = id or self.out()
+        attempt = self.servers.out[id].pop(0)
+        headers = {b"request-id": attempt.id, b"server-stamp": b"st-" + id.encode(), b"keep-alive": b"timeout=9"}
+        headers.update({k.encode().replace(b"_", b"-"): v for k, v in fields.items()})
+        self.say(f"{id}: {status}{' not executed' if 'not_executed' in fields else ''}")
+        attempt.end("answer", Response(status, headers, b"bytes", True))
+
+    def lose(self, why="lost", written=True):
+        """The connection ends without an answer, or never came up."""
+        id = self.out()
+        attempt = self.servers.out[id].pop(0)
+        attempt.written = written
+        self.say(f"{id}: {why}")
+        attempt.end(why)
+
+    def wait(self, seconds):
+        self.clock.advance(seconds)
