--- a/mapleline/cli/commands.py
+++ b/mapleline/cli/commands.py
@@ -30,6 +30,7 @@
   evacuate   ZONE begin|finish
   status     what an ingress knows
   archive    check, dump, restore: a stopped machine's folder
+  try        a small one on loopback, until Ctrl-C (or --check)
 """
 
 
--- a/mapleline/system/commands.py
+++ b/mapleline/system/commands.py
@@ -142,10 +142,21 @@
     what: cappa.Subcommands[ArchiveCheck | ArchiveDump | ArchiveRestore]
 
 
+@cappa.command(name="try", help="A small system on loopback: three ingresses, stand-in servers and platform")
+@dataclass
+class Try:
+    check: Annotated[bool, cappa.Arg(long="--check", help="see a loss and an evacuation go through, then end")] = False
+
+    def __call__(self) -> None:
+        from .trial import run
+
+        tell(run(self.check))
+
+
 @cappa.command(name="mapleline", help="The global load balancer.  For the ingress alone: mapleline --help")
 @dataclass
 class System:
-    what: cappa.Subcommands[Desk | Settings | Config | Evacuate | Status | Archive]
+    what: cappa.Subcommands[Desk | Settings | Config | Evacuate | Status | Archive | Try]
 
 
 def main(words: list[str]) -> int:
