--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -15,6 +15,9 @@
 KEPT = 0.5  # usual answer times that the last slot of a kept region costs
 AGAIN = 6.0  # usual answer times that a server already tried must be better by
 SLOW_GAIN = 0.15  # weight of the newest answer in a server's slowness
+BLAME, FORGET_S = 0.25, 3.0  # weight of the newest end in a server's sickness, and its half life
+CHANCE_END = 0.27  # as sick as one bad end by chance leaves a server
+SICK = 6.0  # usual answer times that a server costs where every request ends badly
 HOLD_S, HOLD_MOST_S = 0.5, 4.0  # nothing goes to a server that could not be reached; doubled each time
 
 
@@ -34,6 +37,9 @@
     slow: float = 1.0  #: answer times over the usual ones
     hold: float = -1e9  #: nothing is sent before
     fails: int = 0  #: in a row
+    bad: float = 0.0  #: share of requests that end badly there, as last seen here, and when
+    bad_at: float = -1e9
+    bad_near: float = 0.0  #: the worst that another ingress of the region has told
     cold_until: float = -1e9
     cold_at: float = -1e9  #: when the store of turns of a cold server was last filled
     cold_store: float = 1.0
@@ -49,16 +55,24 @@
         """Usual answer times before one more would be begun with."""
         return self.slow * max(0.0, self.load(now) + 1 - self.slots) / self.slots
 
-    def failed(self, now: float) -> None:
-        """It could not be reached, or broke off: held off longer with each time in a row."""
+    def sick(self, now: float) -> float:
+        """Share of requests that are likely to end badly: what was seen, less and less believed."""
+        return max(self.bad * 0.5 ** ((now - self.bad_at) / FORGET_S), 0.7 * self.bad_near)
+
+    def judged(self, now: float, badly: bool, weight: float = BLAME) -> None:
+        """A request there has ended, or has been silent for long; by what requests saw, never by health answers."""
+        seen = self.bad * 0.5 ** ((now - self.bad_at) / FORGET_S)
+        self.bad, self.bad_at = seen + weight * (badly - seen), now
+
+    def unreachable(self, now: float) -> None:
+        """Held off longer with each time in a row."""
         self.hold = now + min(HOLD_MOST_S, HOLD_S * 2**self.fails)
         self.fails += 1
 
-    def answered(self, ratio: float | None) -> None:
+    def answered(self, ratio: float) -> None:
         """`ratio`: its time over the usual one."""
         self.fails = 0
-        if ratio is not None:
-            self.slow += SLOW_GAIN * (min(ratio, 4.0) - self.slow)
+        self.slow += SLOW_GAIN * (min(ratio, 4.0) - self.slow)
 
     def cold_turn(self, now: float, rate: float) -> bool:
         """A cold server's rate, saved up to one turn."""
@@ -90,6 +104,7 @@
         cost = expected(t.slow, max(0.0, load + 1 - t.slots) / t.slots + 0.1 * load / t.slots, rng)
         cost += 0.0 if t.zone == zone else near if t.region == region else far
         cost += KEPT * min(1.0, (load + 1) / t.slots) ** 2 if t.region in kept else 0.0
+        cost += SICK * max(0.0, t.sick(now) - CHANCE_END)
         cost += AGAIN if t.id in tried else 0.0
         cost += AGAIN if now < t.hold else 0.0
         if best is None or cost < best_cost:
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -8,12 +8,13 @@
 from zlib import crc32
 
 from ..http1.messages import Request
-from ..policy.placing import Target, choose, too_late
+from ..policy.placing import FORGET_S, Target, choose, too_late
 from ..policy.window import Ask, Tenancy
 from . import verdict
 from .catalogue import Catalogue, Instance
 from .config import Route, Table
 from .doors import Door
+from .messages import Busy
 from .register import READY, Register
 from .servers import Attempt, Servers
 from .settings import Boot
@@ -29,6 +30,7 @@
 BACK_S = 0.3  # when to come back where nothing better is known
 BUDGET_PART = 0.7  # of a further try's ratio is spent: what others count may lag
 NEAR_S = 3.0  # what another has out is believed so long
+DOUBT = 0.2  # weight of a long silence in a server's sickness
 HEDGE = 4.0  # usual answer times without an answer: then another server is asked as well
 USUAL_FIRST_S = 0.25
 USUAL_GAIN = 0.05
@@ -95,8 +97,8 @@
         self.usual: dict[tuple[str, str], float] = {}  #: answer time by service and prefix
         self.longest: dict[str, float] = {}  #: deadlines of first tries, by prefix
         self.sizes: dict[tuple[str, str], float] = {}  #: bytes of an answer, likewise
-        self.near: dict[int, tuple[float, dict[int, int]]] = {}  #: what others of the region have out
-        self.told: dict[int, int] = {}
+        self.near: dict[int, tuple[float, Busy]] = {}  #: what others of the region have out
+        self.told = Busy({}, {})
         self.credit: dict[str, float] = {}  #: further tries saved up, by service
         self.tenancies: dict[str, Tenancy] = {}
         self.counts: dict[str, int] = {}
@@ -118,24 +120,31 @@
         for id in [id for id in self.targets if id not in listed]:
             self.servers.drop(self.targets.pop(id))
 
-    def busy(self) -> dict[int, int] | None:
-        """What is out at servers of this region, if that differs from what was last told."""
-        out = {crc32(t.id.encode()): t.out for t in self.targets.values() if t.out and t.region == self.boot.region}
-        if out == self.told:
+    def busy(self) -> Busy | None:
+        """What is out at servers of this region, and which are sick, if that differs from what was last told."""
+        now = self.reactor.seconds()
+        near = [(crc32(t.id.encode()), t) for t in self.targets.values() if t.region == self.boot.region]
+        tenths = ((id, int(10 * t.bad * 0.5 ** ((now - t.bad_at) / FORGET_S))) for id, t in near if t.bad)
+        told = Busy({id: t.out for id, t in near if t.out}, {id: tenth for id, tenth in tenths if tenth > 2})
+        if told == self.told:
             return None
-        self.told = out
-        return out
+        self.told = told
+        return told
 
-    def heard(self, ip: int, out: dict[int, int], now: float) -> None:
+    def heard(self, ip: int, told: Busy, now: float) -> None:
         """Another ingress of the region has told that."""
-        self.near[ip] = (now, out)
+        self.near[ip] = (now, told)
         sums: dict[int, int] = {}
-        for at, counts in self.near.values():
+        worst: dict[int, int] = {}
+        for at, one in self.near.values():
             if now - at < NEAR_S:
-                for id, count in counts.items():
+                for id, count in one.out.items():
                     sums[id] = sums.get(id, 0) + count
+                for id, tenth in one.sick.items():
+                    worst[id] = max(tenth, worst.get(id, 0))
         for target in self.targets.values():
-            target.near = sums.get(crc32(target.id.encode()), 0)
+            id = crc32(target.id.encode())
+            target.near, target.bad_near = sums.get(id, 0), worst.get(id, 0) / 10
 
     def is_cold(self, one: Instance, now: float) -> bool:
         return now < max(one.cold_until, self.cooling.get(one.zone, -1e9))
@@ -285,8 +294,10 @@
 
     def _hedge(self, call: Call) -> None:
         """No answer for long: the first one of two servers counts.  Breaking the other off would gain nothing."""
+        now = self.reactor.seconds()
         if not call.over and call.attempts and self._again(call):
             self.count("hedged")
+            call.attempts[0].target.judged(now, True, DOUBT)
             self._dispatch(call)
 
     def _still_allowed(self, call: Call) -> bool:
@@ -350,8 +361,10 @@
     def _learn(self, call: Call, attempt: Attempt, now: float) -> None:
         target, response = attempt.target, attempt.response
         if response is None:
-            if attempt.why in ("unreachable", "lost", "spoilt"):
-                target.failed(now)
+            if attempt.why == "unreachable":
+                target.unreachable(now)
+            if attempt.why in ("unreachable", "lost", "closed", "spoilt"):
+                target.judged(now, True)
             return
         load = response.headers.get(b"server-load", b"").split(b",")
         if len(load) == 3 and all(part.strip().isdigit() for part in load):
@@ -360,6 +373,7 @@
             if response.status != 421:
                 target.told, target.told_at = max(target.told, target.slots + 6.0), now
             return
+        target.judged(now, response.status >= 500)
         took, usual, key = now - attempt.sent_at, self._usual(call), self._key(call)
         target.answered(took / usual)
         if response.status < 500 and attempt.free:
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -57,9 +57,10 @@
 
 
 class Busy(msgspec.Struct, array_like=True, tag=7):
-    """Requests that the sender has out, by the checksum of a server's id: told within its region."""
+    """Requests that the sender has out, and tenths that end badly, by the checksum of a server's id."""
 
     out: dict[int, int]
+    sick: dict[int, int]
 
 
 class Part(msgspec.Struct, array_like=True, frozen=True):
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -162,11 +162,11 @@
     def tell_busy(self) -> None:
         """The ingresses of the region know of each other what they have out."""
         self.reactor.callLater(BUSY_S, self.tell_busy)
-        out = self.desk.busy()
-        if out is not None:
+        told = self.desk.busy()
+        if told is not None:
             for m in self.register.alive(self.reactor.seconds()):
                 if m.ip != self.register.me.ip and self.boot.zones[self.zones[m.zone]] == self.boot.region:
-                    self.datagrams.send(m.ip, Busy(out))
+                    self.datagrams.send(m.ip, told)
 
     def push(self) -> None:
         """News for all at once."""
@@ -195,7 +195,7 @@
             case Held():
                 self.scribe.held(ip, message)
             case Busy():
-                self.desk.heard(ip, message.out, now)
+                self.desk.heard(ip, message, now)
             case Tally() | Total() | Parts():
                 self.teller.told(ip, message)
 
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -1,9 +1,11 @@
 """The pure parts of the system, each by a transcript of what it is told and says."""
 
 import json
+import random
 import unittest
 
 from mapleline.policy.estimate import weighted
+from mapleline.policy.placing import Target, choose
 from mapleline.policy.window import Tenancy
 from mapleline.system import archive, config, settings, verdict
 from mapleline.system.archive import Entry, Lease, Mark, Word
@@ -207,6 +209,35 @@
         self.assertEqual([names.add(9, 14, "t", 8, 0) for names in (again, b)], [(7.0, 0.0)] * 2)
 
 
+class TestPlacing(unittest.TestCase):
+    def test_a_sick_server_is_left_by_what_requests_saw_and_tried_again_by_few(self):
+        a, b = (Target(id, "s", "z1", "r1", 2) for id in "ab")
+
+        def share(now):
+            rng = random.Random(5)
+            return sum(choose(now, [a, b], "z1", "r1", (), rng) is a for _ in range(100))
+
+        self.assertTrue(30 < share(10.0) < 70)
+        for n in range(6):
+            a.judged(10.0 + n / 10, badly=n % 2 == 0)  # half of its answers fail
+        self.assertEqual(share(10.8), 0)
+        self.assertTrue(30 < share(16.0))  # nothing is believed for long
+        b.judged(16.0, badly=True)  # one bad end may be chance
+        self.assertTrue(30 < share(16.0) < 70)
+        b.bad_near = 0.5  # another ingress has seen it fail
+        self.assertEqual(share(30.0), 100)
+
+    def test_a_server_out_of_reach_is_held_off_longer_each_time(self):
+        a, holds = Target("a", "s", "z1", "r1", 2), []
+        for now in (10.0, 20.0, 30.0, 40.0):
+            a.unreachable(now)
+            holds.append(a.hold - now)
+        self.assertEqual(holds, [0.5, 1.0, 2.0, 4.0])
+        a.answered(1.0)
+        a.unreachable(50.0)
+        self.assertEqual(a.hold - 50.0, 0.5)
+
+
 class TestVerdict(unittest.TestCase):
     def test_only_the_servers_word_or_an_unwritten_request_promises(self):
         self.assertEqual(verdict.of_answer(503, True), Verdict.NEVER)
