--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -277,7 +277,7 @@
             best.cold_store -= 1.0
         call.tried.append(best.id)
         data = self._head(call, one, left)
-        attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a))
+        attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a), call.kind == "idempotent")
         attempt.free = wait == 0.0
         call.attempts.append(attempt)
         call.sent += 1
--- a/mapleline/system/doors.py
+++ b/mapleline/system/doors.py
@@ -8,8 +8,8 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 
-from ..http1.buffers import BufferPool
-from ..http1.messages import Malformed, Request
+from ..http1.buffers import BUFFER_SIZE, BufferPool
+from ..http1.messages import Malformed, Request, write_response
 from ..http1.server import ServerConnection
 from ..net.streams import Stream
 
@@ -34,6 +34,14 @@
             self.since = self.house.reactor.seconds()
         self.machine.receive(data)
         self._next()
+        if self.connected and self.machine.full and not self.machine.busy and self.house.crowded:
+            self._turn_away()
+
+    def _turn_away(self) -> None:
+        """Bodies that are coming in take more than their part of the memory: a large one has to come again."""
+        self.machine.clear()
+        self.send(write_response(503, b"no room", b"Retry-After: 0.50\r\n", close=True))
+        self.transport.loseConnection()
 
     def _next(self) -> None:
         while not self.machine.busy and self.connected:
@@ -82,6 +90,11 @@
         self.leaving = False
         self.idle_s, self.header_s = 0.0, 10.0
         self.max_header, self.max_body = 16384, 64 << 20
+        self.most_held = 64 << 20  #: bytes of requests that are coming in
+
+    @property
+    def crowded(self) -> bool:
+        return self.pool.out * BUFFER_SIZE > self.most_held
 
     def buildProtocol(self, addr: Any) -> Door:
         return Door(self)
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -33,6 +33,7 @@
 
 BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
+HELD_PART = (1 << 20) // 5  # of the memory, for bodies that are coming in: each is held twice while it is sent
 SWEEP_S = 0.5
 LEASE_MARGIN_S = 0.3
 
@@ -67,6 +68,7 @@
             reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.teller.ask, self.rng
         )
         self.front = House(reactor, pool, self.desk.take)
+        self.front.most_held = boot.limits.memory_mb * HELD_PART
         self.control = Control(self)
         self.houses = [self.front]
         self.platform = Platform(reactor, boot, self.catalogue, self.listed)
--- a/mapleline/system/servers.py
+++ b/mapleline/system/servers.py
@@ -19,6 +19,7 @@
 
 DIAL_S = 0.35  # a first packet that was dropped comes again after a second, and later than that is too late
 IDLE_S = 8.0  # kept at most, where the server says nothing
+SURE_S = 2.0  # idle for longer, a connection gets no request that may run once only
 KEEP_SHARE = 0.75  # of what the server says: a request must not cross its close
 USER_TIMEOUT_MS = 4000
 WHOLE = 1 << 30
@@ -27,10 +28,15 @@
 class Attempt:
     """One sending of one request to one server.  `done(attempt)` is called once."""
 
-    __slots__ = ("carrier", "done", "free", "id", "response", "sent_at", "target", "verdict", "why", "written", "data")
+    __slots__ = (
+        "carrier", "data", "done", "free", "id", "repeatable", "response", "sent_at", "target", "verdict", "why",
+        "written",
+    )  # fmt: skip
 
-    def __init__(self, id: bytes, target: Target, data: bytes, done: Callable[[Attempt], None]) -> None:
-        self.id, self.target, self.data, self.done = id, target, data, done
+    def __init__(
+        self, id: bytes, target: Target, data: bytes, done: Callable[[Attempt], None], repeatable: bool = True
+    ) -> None:
+        self.id, self.target, self.data, self.done, self.repeatable = id, target, data, done, repeatable
         self.carrier: Link | None = None
         self.response: Response | None = None
         self.verdict = Verdict.NEVER
@@ -68,7 +74,7 @@
         self.servers, self.target = servers, target
         self.machine = ClientConnection(servers.pool, WHOLE, belongs)
         self.attempt: Attempt | None = None
-        self.keep_until = 0.0
+        self.keep_until = self.idle_since = 0.0
 
     def connectionMade(self) -> None:
         sock = self.transport.getHandle()
@@ -104,7 +110,8 @@
         _, _, timeout = said.partition(b"timeout=")
         timeout = timeout.partition(b",")[0].strip()
         keep = float(timeout) if timeout.isdigit() else IDLE_S / KEEP_SHARE
-        self.keep_until = self.servers.reactor.seconds() + min(IDLE_S, keep * KEEP_SHARE)
+        self.idle_since = self.servers.reactor.seconds()
+        self.keep_until = self.idle_since + min(IDLE_S, keep * KEEP_SHARE)
         self.target.links.append(self)
 
     def connectionLost(self, reason: Failure) -> None:
@@ -133,7 +140,10 @@
         target, now = attempt.target, self.reactor.seconds()
         target.out += 1
         while target.links:
-            link = target.links.pop()
+            link = target.links[-1]
+            if not attempt.repeatable and now - link.idle_since > SURE_S:
+                break  # the server may have forgotten it without a word, and a reset then tells nothing
+            target.links.pop()
             if link.connected and now < link.keep_until and not link.unread:
                 return link.start(attempt)
             link.transport.abortConnection()
