--- a/mapleline/system/offline.py
+++ b/mapleline/system/offline.py
@@ -27,8 +27,16 @@
         read = config.read(text)
     except config.ConfigFault as err:
         return Error(str(err))
-    return Ok(f"version {read.config_version}: {len(read.route_table)} routes, {len(read.service_table)} services, "
-              f"{len(read.tenant_table)} tenants")  # fmt: skip
+    lines = [f"version {read.config_version}: {len(read.route_table)} routes, {len(read.service_table)} services, "
+             f"{len(read.tenant_table)} tenants"]  # fmt: skip
+    for tenant, of in read.tenant_table.items():
+        homes = set(of.home_regions)
+        homed = ((name, set(route.home_regions)) for name, route in read.route_table.items())
+        apart = [name for name, others in homed if others and not homes & others]
+        if homes and apart:
+            lines.append(f"warning: tenant_table.{tenant} has no home in common with {', '.join(apart)}: both bind, "
+                         "so nothing can be served there")  # fmt: skip
+    return Ok("\n".join(lines))
 
 
 def _load(folder: Path) -> Result[tuple[list[Entry], list[int]], str]:
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -7,7 +7,7 @@
 from mapleline.policy.estimate import weighted
 from mapleline.policy.placing import Target, choose
 from mapleline.policy.window import Tenancy
-from mapleline.system import archive, config, settings, verdict
+from mapleline.system import archive, config, offline, settings, verdict
 from mapleline.system.archive import Entry, Lease, Mark, Word
 from mapleline.system.ledger import Names, holders
 from mapleline.system.register import DISK, READY, Member, Register
@@ -81,6 +81,14 @@
             self.assertIn(key, str(caught.exception))
 
 
+    def test_homes_that_have_nothing_in_common_are_warned_of(self):
+        tenants = {"t1": {"api_keys": ["k1"], "home_regions": ["west"]}}
+        text = offline.check_config(operators(r2={"home_regions": ["east"]}, tenant_table=tenants)).ok
+        self.assertIn("warning: tenant_table.t1 has no home in common with r2:", text)
+        self.assertNotIn("warning", offline.check_config(operators(tenant_table=tenants)).ok)
+        self.assertIn("route_table.r2.timeout", offline.check_config(operators(r2={"timeout": "0ms"})).error)
+
+
 class TestWord(unittest.TestCase):
     def test_every_read_meets_every_write_though_disks_are_gone(self):
         for core in range(1, 10):
