--- a/mapleline/system/trial.py
+++ b/mapleline/system/trial.py
@@ -9,6 +9,7 @@
 import http.server
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -213,6 +214,12 @@
 
 def run(checking: bool) -> Result[str, str]:
     """Start it; `checking`: play and end, else go on until interrupted."""
+    for n in range(1, len(ZONES) + 1):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as line:
+            try:
+                line.bind((f"127.0.{n}.1", INTERNAL))
+            except OSError as err:
+                return Result.Error(f"127.0.{n}.1:{INTERNAL}: {err.strerror}; is another one still running?")
     with tempfile.TemporaryDirectory(prefix="mapleline-try-") as folder:
         trial = Trial(Path(folder))
         try:
