--- a/mapleline/policy/placing.py
+++ b/mapleline/policy/placing.py
@@ -55,13 +55,17 @@
         """Usual answer times before one more would be begun with."""
         return self.slow * max(0.0, self.load(now) + 1 - self.slots) / self.slots
 
+    def seen(self, now: float) -> float:
+        """Share of requests that ended badly here, less and less believed."""
+        return self.bad * 0.5 ** ((now - self.bad_at) / FORGET_S)
+
     def sick(self, now: float) -> float:
-        """Share of requests that are likely to end badly: what was seen, less and less believed."""
-        return max(self.bad * 0.5 ** ((now - self.bad_at) / FORGET_S), 0.7 * self.bad_near)
+        """Share of requests that are likely to end badly, by what was seen here and near."""
+        return max(self.seen(now), 0.7 * self.bad_near)
 
     def judged(self, now: float, badly: bool, weight: float = BLAME) -> None:
         """A request there has ended, or has been silent for long; by what requests saw, never by health answers."""
-        seen = self.bad * 0.5 ** ((now - self.bad_at) / FORGET_S)
+        seen = self.seen(now)
         self.bad, self.bad_at = seen + weight * (badly - seen), now
 
     def unreachable(self, now: float) -> None:
--- a/mapleline/system/archive.py
+++ b/mapleline/system/archive.py
@@ -12,29 +12,22 @@
 CONFIG, EVACUATION = "config", "evacuation/"
 
 
-class Entry(msgspec.Struct, array_like=True, frozen=True):
-    """One register's content."""
+class Mark(msgspec.Struct, array_like=True, frozen=True):
+    """What a register holds somewhere, without the content."""
 
     key: str
     version: int
     tie: str
-    body: bytes
 
     @property
     def stamp(self) -> Stamp:
         return self.version, self.tie
 
 
-class Mark(msgspec.Struct, array_like=True, frozen=True):
-    """What a register holds somewhere, without the content."""
+class Entry(Mark, array_like=True, frozen=True):
+    """The same with the content."""
 
-    key: str
-    version: int
-    tie: str
-
-    @property
-    def stamp(self) -> Stamp:
-        return self.version, self.tie
+    body: bytes
 
 
 def write_quorum(core: int, losses: int) -> int:
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -8,7 +8,7 @@
 from zlib import crc32
 
 from ..http1.messages import Request
-from ..policy.placing import FORGET_S, Target, choose, too_late
+from ..policy.placing import Target, choose, too_late
 from ..policy.window import Ask, Tenancy
 from . import verdict
 from .catalogue import Catalogue, Instance
@@ -124,7 +124,7 @@
         """What is out at servers of this region, and which are sick, if that differs from what was last told."""
         now = self.reactor.seconds()
         near = [(crc32(t.id.encode()), t) for t in self.targets.values() if t.region == self.boot.region]
-        tenths = ((id, int(10 * t.bad * 0.5 ** ((now - t.bad_at) / FORGET_S))) for id, t in near if t.bad)
+        tenths = ((id, int(10 * t.seen(now))) for id, t in near if t.bad)
         told = Busy({id: t.out for id, t in near if t.out}, {id: tenth for id, tenth in tenths if tenth > 2})
         if told == self.told:
             return None
--- a/mapleline/system/servers.py
+++ b/mapleline/system/servers.py
@@ -130,7 +130,7 @@
 
 
 class Servers:
-    """Sends attempts; `addresses` tells where a life of a server is."""
+    """Sends attempts over the connections that are kept at each target, or over new ones."""
 
     def __init__(self, reactor: Any, pool: BufferPool) -> None:
         self.reactor, self.pool = reactor, pool
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -18,7 +18,6 @@
 TELL_S = 0.05  # holders look so often for what they have to tell each other
 SILENT_S = 0.6  # a holder that has told and heard nothing since counts what it is asked for twice
 MISSES, SUSPECT_S = 2, 1.2  # consultations in a row without an answer; then it is not asked for a while
-ROUND_TRIP_LEAST_S = 0.02
 
 
 class _Open:
