Pass long bodies on as they come, both ways, no faster than the other side takes them

Ruled out: streaming from the first byte, since a body that has gone out can't go to a second server: of the uploads seen (60 kB usual, 360 kB at most) each would lose its further try. More gone out than is held: no second server, and 503 with Retry-After where the server said that it did not run. The system's doors half-close and read on where a client still sends a body that nobody wants.

--- a/mapleline/http1/buffers.py
+++ b/mapleline/http1/buffers.py
@@ -13,14 +13,14 @@
         """`most` bytes are to be out at once: nobody is refused a buffer, who can wait asks `tight` first."""
         self._free: list[bytearray] = []
         self._kept = kept
-        self._most = most
+        self.most = most
         self.out = 0  #: buffers in use
         self.held = 0  #: bytes elsewhere that count with them: what has been taken and is kept to be sent
 
     @property
     def tight(self) -> bool:
         """More is out than there should be: what can go on, or wait, does."""
-        return self.out * BUFFER_SIZE + self.held >= self._most
+        return self.out * BUFFER_SIZE + self.held >= self.most
 
     def take(self) -> bytearray:
         self.out += 1
--- a/mapleline/system/desk.py
+++ b/mapleline/system/desk.py
@@ -7,7 +7,8 @@
 from typing import Any
 from zlib import crc32
 
-from ..http1.messages import Request
+from ..http1.messages import Request, Response, write_chunk
+from ..http1.upload import Upload
 from ..policy.placing import Target, choose, too_late
 from ..policy.window import Ask, Tenancy
 from . import verdict
@@ -16,9 +17,9 @@
 from .doors import Door
 from .messages import Busy
 from .register import READY, Register
-from .servers import Attempt, Servers
+from .servers import Attempt, Link, Servers
 from .settings import Boot
-from .verdict import Verdict
+from .verdict import Verdict, of_response
 
 HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
                  b"content-length", b"expect"})  # fmt: skip
@@ -40,8 +41,9 @@
 class Call:
     """One request in hand."""
 
-    __slots__ = ("again", "arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "request",
-                 "route", "sent", "service", "tenant", "timer", "tried", "unreachable", "worst")  # fmt: skip
+    __slots__ = ("again", "arrived", "attempts", "desk", "door", "end_at", "hedge", "id", "kind", "over", "passing",
+                 "request", "route", "sent", "service", "spent", "tenant", "timer", "tried", "unreachable", "upload",
+                 "worst")  # fmt: skip
 
     def __init__(self, desk: Desk, door: Door, request: Request, now: float) -> None:
         self.desk, self.door, self.request, self.arrived = desk, door, request, now
@@ -49,12 +51,15 @@
         self.sent = self.unreachable = 0
         self.tried: list[str] = []
         self.worst, self.over, self.timer, self.hedge = Verdict.NEVER, False, None, None
+        self.upload: Upload | None = door.upload  #: the rest of its body, still coming
+        self.spent = False  #: more of the body has gone out than is held
+        self.passing: Attempt | None = None  #: its answer is on its way out in parts
         self.id = request.headers.get(b"request-id", b"")
         self.tenant: str | None = None
 
     def left(self) -> None:
         """The client is gone."""
-        self._end()
+        self.end()
         self.call_off()
 
     def call_off(self) -> None:
@@ -63,10 +68,11 @@
 
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
         if not self.over:
-            self._end()
+            self.end()
             self.door.reply(status, body, lines)
 
-    def _end(self) -> None:
+    def end(self) -> None:
+        """Out of hand: its answer is out, or nobody wants one."""
         if self.over:
             return
         self.over = True
@@ -262,7 +268,7 @@
         left = call.end_at - now
         homes = self._homes(call)
         targets = self.usable(call.service, homes, now) if left > LEAST_S else []
-        kilobytes = (len(call.request.body) + self.sizes.get(self._key(call), 0.0)) / 1000
+        kilobytes = ((call.request.length or len(call.request.body)) + self.sizes.get(self._key(call), 0.0)) / 1000
         kept = self.table.homes.get(call.service, ()) if homes is None else ()
         best = choose(now, targets, self.boot.zone, self.boot.region, call.tried, self.rng, kilobytes, kept)
         if best is None:
@@ -277,7 +283,10 @@
             best.cold_store -= 1.0
         call.tried.append(best.id)
         data = self._head(call, one, left)
-        attempt = Attempt(call.id, best, data, lambda a: self._ended(call, a), call.kind == "idempotent")
+        attempt = Attempt(
+            call.id, best, data, lambda a: self._ended(call, a), call.kind == "idempotent",
+            lambda a, response, link: self._begun(call, a, response, link), call.upload,
+        )  # fmt: skip
         attempt.free = wait == 0.0
         call.attempts.append(attempt)
         call.sent += 1
@@ -295,7 +304,7 @@
     def _hedge(self, call: Call) -> None:
         """No answer for long: the first one of two servers counts.  Breaking the other off would gain nothing."""
         now = self.reactor.seconds()
-        if not call.over and call.attempts and self._again(call):
+        if not call.over and call.passing is None and call.attempts and self._again(call):
             self.count("hedged")
             call.attempts[0].target.judged(now, True, DOUBT)
             self._dispatch(call)
@@ -314,9 +323,21 @@
         lines.append(b"Deadline-Ms: %d\r\nExpect-Instance: %b\r\n" % (max(1, left * 1000), one.id.encode()))
         if call.tenant:
             lines.append(b"Tenant: %b\r\n" % call.tenant.encode())
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            lines.append(b"Content-Length: %d\r\n" % len(request.body))
-        return b"%b\r\n%b" % (b"".join(lines), request.body)
+        body = request.body
+        if call.upload is not None and call.upload.length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+            body = write_chunk(body)
+        elif body or request.method not in (b"GET", b"HEAD"):
+            lines.append(b"Content-Length: %d\r\n" % (call.upload.length if call.upload is not None else len(body)))
+        return b"%b\r\n%b" % (b"".join(lines), body)
+
+    def _begun(self, call: Call, attempt: Attempt, response: Response, link: Link) -> Door | None:
+        """A long answer has begun: it goes out as it comes, if it is the request's answer and the first of two."""
+        if call.over or call.passing is not None or of_response(response) is Verdict.NEVER:
+            return None
+        call.passing = attempt
+        call.door.begin(response.status, self._lines(response), response.length, link)
+        return call.door
 
     def _ended(self, call: Call, attempt: Attempt) -> None:
         """An attempt is over, by an answer or without one."""
@@ -326,7 +347,11 @@
         if attempt.verdict is not Verdict.NEVER:
             call.worst = max(call.worst, attempt.verdict)
         self._learn(call, attempt, now)
-        if call.over:
+        if attempt is call.passing and not call.over:
+            self.count("served" if response.status < 300 else "passed")
+            call.end()
+            return call.door.ended(attempt.why == "answer")
+        if call.over or call.passing is not None:
             return
         if response is not None and attempt.verdict is Verdict.RAN and response.status < 500:
             return self._pass(call, response)
@@ -347,7 +372,7 @@
 
     def _again(self, call: Call) -> bool:
         """A further try is allowed, and the budget bears it."""
-        if not verdict.may_repeat(call.kind, call.worst) or call.sent >= call.route.max_attempts:
+        if call.spent or not verdict.may_repeat(call.kind, call.worst) or call.sent >= call.route.max_attempts:
             return False
         if call.end_at - self.reactor.seconds() < 2 * LEAST_S:
             return False
@@ -381,11 +406,14 @@
             size = self.sizes.get(key, len(response.body))
             self.sizes[key] = size + USUAL_GAIN * (len(response.body) - size)
 
-    def _pass(self, call: Call, response: Any) -> None:
+    def _pass(self, call: Call, response: Response) -> None:
         """The server's answer, unchanged."""
-        lines = b"".join(b"%b: %b\r\n" % item for item in response.headers.items() if item[0] not in HOP)
         self.count("served" if response.status < 300 else "passed")
-        call.answer(response.status, response.body, lines)
+        call.answer(response.status, response.body, self._lines(response))
+
+    @staticmethod
+    def _lines(response: Response) -> bytes:
+        return b"".join(b"%b: %b\r\n" % item for item in response.headers.items() if item[0] not in HOP)
 
     def _give_up(self, call: Call, timed_out: bool) -> None:
         """No server has answered it, and none will be asked: told at once."""
@@ -400,6 +428,10 @@
         """The deadline: an attempt that is out may have run, or runs still."""
         if call.over:
             return
+        if call.passing is not None:  # the client has waited as long as it would: it sees a part, and no end
+            call.end()
+            call.door.ended(False)
+            return call.call_off()
         if any(attempt.written for attempt in call.attempts):
             call.worst = max(call.worst, Verdict.MAYBE)
         self._give_up(call, True)
--- a/mapleline/system/doors.py
+++ b/mapleline/system/doors.py
@@ -3,27 +3,38 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 
-from ..http1.buffers import BUFFER_SIZE, BufferPool
-from ..http1.messages import Malformed, Request, write_response
+from ..http1.buffers import BufferPool
+from ..http1.messages import Malformed, Request
 from ..http1.server import ServerConnection
+from ..http1.upload import Upload
 from ..net.streams import Stream
 
-WHOLE = 1 << 30  # bodies are taken in whole: another server may have to get them
+WHOLE = 1 << 30  # of who takes every body in whole
+LINGER_S = 6.0  # for who still sends a body that nobody wants, to read why
 
 
 class Door(Stream):
-    """One connection: requests go to the house's `take`, one at a time."""
+    """One connection: requests go to the house's `take`, one at a time.
+
+    A body beyond the house's `stream_from`, or any of some size while memory is tight, goes on as it comes: its
+    request has an `upload`, and is read no faster than a server takes it.
+    """
 
     def __init__(self, house: House) -> None:
         self.house = house
-        self.machine = ServerConnection(house.pool, WHOLE, house.max_header, house.max_body)
+        self.machine = ServerConnection(house.pool, house.stream_from, house.max_header, house.max_body)
         self.since = house.reactor.seconds()  #: of the last answer, or of the first byte of a request
         self.in_hand: Any = None  #: what `take` made of the request
+        self.upload: Upload | None = None  #: takes the rest of the request in hand
+        self.source: Any = None  #: gives the rest of the answer in hand
+        self.reading, self.behind = True, False  # behind: bytes that nobody wants follow the request in hand
+        self.reserved = 0  #: bytes of the pool's bound that the request in hand takes
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -33,15 +44,40 @@
         if not self.machine.busy and not self.machine.partial:
             self.since = self.house.reactor.seconds()
         self.machine.receive(data)
+        if self.upload is not None:
+            return self._more(self.upload)
         self._next()
-        if self.connected and self.machine.full and not self.machine.busy and self.house.crowded:
-            self._turn_away()
 
-    def _turn_away(self) -> None:
-        """Bodies that are coming in take more than their part of the memory: a large one has to come again."""
-        self.machine.clear()
-        self.send(write_response(503, b"no room", b"Retry-After: 0.50\r\n", close=True))
-        self.transport.loseConnection()
+    def _more(self, upload: Upload) -> None:
+        """More of a body that goes on as it comes."""
+        try:
+            part = self.machine.next_part()
+        except Malformed as err:
+            call = self.in_hand
+            self.reply(err.status, err.why.encode())
+            return call.left() if hasattr(call, "left") else None
+        if not self.machine.passing:
+            self.upload = None
+        upload.put(part, self.upload is None)
+        if self.upload is not None and not upload.room:
+            self._pause()
+
+    def _pause(self) -> None:
+        if self.reading and self.connected:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def _read_on(self) -> None:
+        if not self.reading and self.connected:
+            self.reading = True
+            self.transport.resumeProducing()
+
+    def _close(self, unread: bool) -> None:
+        if unread:  # closing with bytes unread resets, and the client may never see why
+            self.transport.loseWriteConnection()
+            self._read_on()
+        else:
+            self.transport.loseConnection()
 
     def _next(self) -> None:
         while not self.machine.busy and self.connected:
@@ -53,28 +89,85 @@
                 if self.machine.expects:
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
+            if request.more:
+                self.upload = Upload(request.length, self._read_on, partial(self._spent, request))
+                self._pause()  # until a server takes what there is
+            self._reserve(2 * len(request.body))  # held to be sent again, and once more on its way out
             self.in_hand = self.house.take(self, request)
 
+    def _reserve(self, size: int) -> None:
+        self.house.pool.held += size - self.reserved
+        self.reserved = size
+
+    def _spent(self, request: Request) -> None:
+        """More has gone out than is held: what is held is of no more use."""
+        request.body = b""
+        self._reserve(0)
+        if self.in_hand is not None:
+            self.in_hand.spent = True
+
+    def _lines(self) -> bytes:
+        if self.house.leaving:
+            self.machine.closing = True
+        elif not self.machine.closing and self.house.idle_s:
+            return b"Keep-Alive: timeout=%d\r\n" % max(1, int(self.house.idle_s))
+        return b""
+
     def reply(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
         """The one answer to the request in hand."""
         if not self.connected or not self.machine.busy:
             return
-        self.in_hand = None
-        if self.house.leaving:
+        unread = self.machine.passing
+        if unread:
             self.machine.closing = True
-        elif not self.machine.closing and self.house.idle_s:
-            lines += b"Keep-Alive: timeout=%d\r\n" % max(1, int(self.house.idle_s))
+        lines += self._lines()
         self.send(self.machine.answer(status, body, lines))
+        self._rest(unread)
+
+    def _rest(self, unread: bool = False) -> None:
+        self.in_hand = self.upload = self.source = None
+        self._reserve(0)
         self.since = self.house.reactor.seconds()
         if self.machine.closing:
-            self.transport.loseConnection()
+            self._close(unread)
         else:
             self.house.reactor.callLater(0, self._next)
 
+    def begin(self, status: int, lines: bytes, length: int | None, source: Any) -> None:
+        """The answer goes out as it comes: `part`s, then `ended`.  `source` is paused and resumed."""
+        self.source, self.behind = source, self.machine.passing
+        if self.connected:
+            lines += self._lines()
+            self.send(self.machine.begin(status, lines, length))
+
+    def part(self, data: bytes) -> None:
+        if data:
+            self.send(self.machine.part(data))
+        if not self.flushed and self.source is not None:
+            self.source.pause()
+
+    def ended(self, whole: bool) -> None:
+        """The last part has come; or no more will come, and the client is to see that."""
+        if not self.connected or not self.machine.busy:
+            return
+        end = self.machine.end()
+        if whole:
+            self.send(end)
+            return self._rest(self.behind)
+        self.machine.closing = True
+        self._reserve(0)
+        (self.transport.abortConnection if self.machine.ends_by_close else self.transport.loseConnection)()
+
+    def on_flushed(self) -> None:
+        if self.source is not None:
+            self.source.resume()
+
     def connectionLost(self, reason: Failure) -> None:
         super().connectionLost(reason)
         self.house.open.discard(self)
-        call, self.in_hand = self.in_hand, None
+        self.machine.clear()
+        self._reserve(0)
+        call, self.in_hand, self.upload, self.source = self.in_hand, None, None, None
         if call is not None and hasattr(call, "left"):
             call.left()
 
@@ -84,17 +177,14 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, pool: BufferPool, take: Callable[[Door, Request], Any]) -> None:
-        self.reactor, self.pool, self.take = reactor, pool, take
+    def __init__(
+        self, reactor: Any, pool: BufferPool, take: Callable[[Door, Request], Any], stream_from: int = WHOLE
+    ) -> None:
+        self.reactor, self.pool, self.take, self.stream_from = reactor, pool, take, stream_from
         self.open: set[Door] = set()
         self.leaving = False
         self.idle_s, self.header_s = 0.0, 10.0
         self.max_header, self.max_body = 16384, 64 << 20
-        self.most_held = 64 << 20  #: bytes of requests that are coming in
-
-    @property
-    def crowded(self) -> bool:
-        return self.pool.out * BUFFER_SIZE > self.most_held
 
     def buildProtocol(self, addr: Any) -> Door:
         return Door(self)
@@ -104,6 +194,10 @@
         for door in list(self.open):
             if door.machine.busy:
                 continue
+            if door.machine.closing:
+                if now - door.since > LINGER_S:
+                    door.transport.abortConnection()
+                continue
             if door.machine.partial:
                 if now - door.since > 3 * self.header_s:
                     door.transport.abortConnection()
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -26,14 +26,14 @@
 from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
 from .scribe import Scribe
-from .servers import Servers
+from .servers import STREAM_FROM, Servers
 from .settings import Boot, SettingsFault
 from .settings import read as read_settings
 from .teller import Teller
 
 BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
-HELD_PART = (1 << 20) // 5  # of the memory, for bodies that are coming in: each is held twice while it is sent
+HELD_PART = (1 << 20) // 5  # of the memory, for bodies; beyond, they go on as they come
 SWEEP_S = 0.5
 LEASE_MARGIN_S = 0.3
 
@@ -54,7 +54,7 @@
         self.register = Register(me, BEAT_S)
         self.catalogue = Catalogue()
         self.beats = 0
-        pool = BufferPool()
+        pool = BufferPool(most=int(boot.limits.memory_mb * HELD_PART))
         self.servers = Servers(reactor, pool)
         self.port = boot.internal_port_range[0]
         self.datagrams = courier.Datagrams(self.port, self.told)
@@ -67,8 +67,7 @@
         self.desk = Desk(
             reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.teller.ask, self.rng
         )
-        self.front = House(reactor, pool, self.desk.take)
-        self.front.most_held = boot.limits.memory_mb * HELD_PART
+        self.front = House(reactor, pool, self.desk.take, STREAM_FROM)
         self.control = Control(self)
         self.houses = [self.front]
         self.platform = Platform(reactor, boot, self.catalogue, self.listed)
@@ -80,7 +79,7 @@
         boot, listen = self.boot, self.boot.listen_addresses
         self.reactor.listenUDP(self.port, self.datagrams, interface=boot.ip_address, maxPacketSize=65536)
         self.reactor.listenTCP(self.port, courier.AnswerFactory(self.scribe.called), interface=boot.ip_address)
-        pool = self.front.pool
+        pool = BufferPool(kept=4)  # never tight: what is said here is taken in whole
         for place, take in ((listen.ready_addr, self.readiness), (listen.control_addr, self.control.take),
                             (listen.directory_addr, self.directory)):  # fmt: skip
             if place is not None:
--- a/mapleline/system/servers.py
+++ b/mapleline/system/servers.py
@@ -9,34 +9,39 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from ..http1.buffers import BufferPool
+from ..http1.buffers import BUFFER_SIZE, BufferPool
 from ..http1.client import ClientConnection
 from ..http1.messages import Response
+from ..http1.upload import Upload
 from ..net.dial import dial
 from ..net.streams import Stream
 from ..policy.placing import Target
-from .verdict import Verdict, of_answer, of_loss
+from .verdict import Verdict, of_loss, of_response
 
 DIAL_S = 0.35  # a first packet that was dropped comes again after a second, and later than that is too late
 IDLE_S = 8.0  # kept at most, where the server says nothing
 SURE_S = 2.0  # idle for longer, a connection gets no request that may run once only
 KEEP_SHARE = 0.75  # of what the server says: a request must not cross its close
 USER_TIMEOUT_MS = 4000
-WHOLE = 1 << 30
+STREAM_FROM = 1 << 20  # bytes of a body that are held for another server; a larger one goes on as it comes
+RELAY_READ = 64 * 1024  # bytes of one read of an answer that is passed on
 
 
 class Attempt:
     """One sending of one request to one server.  `done(attempt)` is called once."""
 
     __slots__ = (
-        "carrier", "data", "done", "free", "id", "repeatable", "response", "sent_at", "target", "verdict", "why",
-        "written",
+        "begun", "carrier", "data", "done", "free", "id", "repeatable", "response", "sent_at", "target", "upload",
+        "verdict", "why", "written",
     )  # fmt: skip
 
     def __init__(
-        self, id: bytes, target: Target, data: bytes, done: Callable[[Attempt], None], repeatable: bool = True
-    ) -> None:
+        self, id: bytes, target: Target, data: bytes, done: Callable[[Attempt], None], repeatable: bool = True,
+        begun: Callable[[Attempt, Response, Link], Any] = lambda *_: None, upload: Upload | None = None,
+    ) -> None:  # fmt: skip
         self.id, self.target, self.data, self.done, self.repeatable = id, target, data, done, repeatable
+        self.begun = begun  #: of an answer that goes on as it comes: gives who takes its parts, or None
+        self.upload = upload  #: the rest of the request's body, still coming
         self.carrier: Link | None = None
         self.response: Response | None = None
         self.verdict = Verdict.NEVER
@@ -50,20 +55,22 @@
             return
         self.why, self.response = why, response
         if response is not None:
-            self.verdict = of_answer(response.status, b"not-executed" in response.headers)
+            self.verdict = of_response(response)
         else:
             self.verdict = of_loss(self.written)
         self.target.out -= 1
+        if self.upload is not None:
+            self.upload.detach(self.carrier)
         self.done(self)
 
     def call_off(self) -> None:
         """Nobody wants the answer any more."""
         if self.why:
             return
-        link, self.carrier = self.carrier, None
+        link = self.carrier
         self.end("called off")
         if link is not None:
-            link.attempt = None
+            link.attempt = link.sink = None
             link.transport.abortConnection()
 
 
@@ -72,8 +79,11 @@
 
     def __init__(self, servers: Servers, target: Target) -> None:
         self.servers, self.target = servers, target
-        self.machine = ClientConnection(servers.pool, WHOLE, belongs)
+        self.machine = ClientConnection(servers.pool, STREAM_FROM, belongs)
         self.attempt: Attempt | None = None
+        self.sink: Any = None  #: takes the answer that is being passed on
+        self.begun: Response | None = None  #: the head of that answer
+        self.reading = True
         self.keep_until = self.idle_since = 0.0
 
     def connectionMade(self) -> None:
@@ -87,24 +97,78 @@
         attempt.sent_at = self.servers.reactor.seconds()
         self.machine.called(attempt)
         self.send(attempt.data)
+        if attempt.upload is not None:
+            attempt.upload.attach(self, lambda: self._uploaded(attempt))
+
+    def _uploaded(self, attempt: Attempt) -> None:
+        """The last byte has gone out: the server begins now."""
+        attempt.sent_at = self.servers.reactor.seconds()
+
+    def on_flushed(self) -> None:
+        if self.attempt is not None and self.attempt.upload is not None:
+            self.attempt.upload.flushed()
 
     def dataReceived(self, data: bytes) -> None:
+        if self.sink is not None:
+            return self._pass_on(data)
         answers = self.machine.receive(data)
         attempt = self.attempt
         if answers and attempt is not None:
-            self.attempt = None
             response = answers[0][1]
-            if self.machine.reusable and self.flushed:
-                self._rest(response)
-            else:
-                self.transport.abortConnection()
-            attempt.end("answer", response)
+            if response.more and self._begin(attempt, response):
+                return
+            self._end(attempt, response, "answer")
         elif not self.machine.reusable:
             self.attempt = None
             self.transport.abortConnection()
             if attempt is not None:
                 attempt.end("spoilt")
 
+    def _end(self, attempt: Attempt, response: Response, why: str) -> None:
+        self.attempt = None
+        whole = attempt.upload is None or attempt.upload.complete
+        if why == "answer" and self.machine.reusable and not self.machine.passing and self.flushed and whole:
+            self._rest(response)
+        else:
+            self.transport.abortConnection()
+        attempt.end(why, response)
+
+    def _begin(self, attempt: Attempt, response: Response) -> bool:
+        """An answer that is passed on as it comes, unless nobody takes it."""
+        self.sink = attempt.begun(attempt, response, self)
+        if self.sink is None:
+            return False
+        self.begun = response
+        self.transport.bufferSize = RELAY_READ
+        self.sink.part(response.body)
+        return True
+
+    def _pass_on(self, data: bytes) -> None:
+        sink = self.sink
+        part = self.machine.pass_on(data)
+        if part:
+            sink.part(part)
+        if self.machine.passing or self.sink is None:
+            return  # more is to come, or nobody takes it any more
+        self._passed("spoilt" if self.machine.cut else "answer")
+
+    def _passed(self, why: str) -> None:
+        """The answer that was passed on has ended, as it should or not."""
+        self.sink, self.transport.bufferSize = None, BUFFER_SIZE
+        if self.attempt is not None:
+            self._end(self.attempt, self.begun, why)
+
+    def pause(self) -> None:
+        """Whoever takes the answer has enough for now."""
+        if self.reading and self.connected:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        if not self.reading and self.connected:
+            self.reading = True
+            self.transport.resumeProducing()
+
     def _rest(self, response: Response) -> None:
         said = response.headers.get(b"keep-alive", b"")
         _, _, timeout = said.partition(b"timeout=")
@@ -118,6 +182,9 @@
         super().connectionLost(reason)
         if self in self.target.links:
             self.target.links.remove(self)
+        if self.sink is not None:
+            whole = self.machine.ended_passing(reason.check(ConnectionDone) is not None)
+            return self._passed("answer" if whole else "lost")
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.end("lost" if reason.check(ConnectionDone) is None else "closed")
--- a/mapleline/system/verdict.py
+++ b/mapleline/system/verdict.py
@@ -4,6 +4,8 @@
 
 from enum import IntEnum
 
+from ..http1.messages import Response
+
 
 class Verdict(IntEnum):
     """What is known of a request that was, or was to be, given to a server."""
@@ -18,6 +20,11 @@
     return Verdict.NEVER if not_executed or status == 421 else Verdict.RAN
 
 
+def of_response(response: Response) -> Verdict:
+    """The same of an answer as it was read."""
+    return of_answer(response.status, b"not-executed" in response.headers)
+
+
 def of_loss(written: bool) -> Verdict:
     """By a connection lost, or given up, without an answer."""
     return Verdict.MAYBE if written else Verdict.NEVER
--- a/tests/system/test_desk.py
+++ b/tests/system/test_desk.py
@@ -163,6 +163,29 @@
         w.ask("q5")
         self.approve("who_gets_nothing")
 
+    def test_bodies_that_go_on_as_they_come(self):
+        w = self.world
+        w.ask("up", b"POST", b"/book/7", long=2 << 20)
+        w.answer(503, not_executed=b"1")
+        w.answer()
+        w.wait(3.0)
+        w.ask("spent", b"POST", b"/book/8", long=2 << 20).spent = True  # more has gone out than is held
+        w.answer(503, not_executed=b"1")
+        w.wait(3.0)
+        w.ask("down")
+        end = w.begin()
+        w.wait(1.5)  # no second server is asked
+        end("answer")
+        w.ask("cut")
+        w.begin()("lost")
+        w.ask("full")
+        w.begin(503, not_executed=b"1")
+        w.answer()
+        w.ask("slow", deadline_ms=b"900")
+        w.begin()
+        w.wait(0.9)
+        self.approve("streams")
+
     def test_a_full_region_is_left_to_those_who_may_go_nowhere_else(self):
         w = self.world
         for n in range(6):
