Name who asks the platform for the list: a successor at the end, a majority after a loss

Ruled out: a lease by time for it. A double costs two calls to the platform, within its rate, and ends with a beat. Change: custody.py (pure): terms that climb, the holder names the next at SIGTERM, a majority of the core that misses the holder as well votes once it is lost; term and holder travel with each beat, status shows them. A first list is not waited for, and who hears nothing for two seconds still asks itself.

--- a/mapleline/system/control.py
+++ b/mapleline/system/control.py
@@ -9,6 +9,7 @@
 from .archive import CONFIG, EVACUATION, Entry
 from .config import ConfigFault
 from .config import read as read_config
+from .courier import host
 from .doors import Door
 from .log import say
 
@@ -101,6 +102,7 @@
             "formed": node.scribe.seat.formed, "word": held,
             "ingresses": len(node.register.alive(now)), "core": node.register.core(),
             "lease_age_s": round(now - node.lease.since(), 3) if node.lease.since() > -1e9 else None,
+            "list": {"holder": host(node.custody.holder), "term": node.custody.term},
             "servers": len(node.catalogue.instances), "counts": node.desk.counts,
         }  # fmt: skip
         door.reply(200, msgspec.json.encode(body), JSON)
--- a/mapleline/system/messages.py
+++ b/mapleline/system/messages.py
@@ -15,6 +15,8 @@
     list_digest: int
     list_age_ms: int
     reply: bool = False  #: the sender wants the table of the one it is sent to
+    term: int = 0  #: who asks the platform for the list, as the sender knows it (`custody.py`)
+    holder: int = 0
 
 
 class Probe(msgspec.Struct, array_like=True, tag=2):
@@ -78,6 +80,18 @@
     answer: bool = False
 
 
+class Claim(msgspec.Struct, array_like=True, tag=8):
+    """Asks a machine of the core to vote for the sender as the holder of the list."""
+
+    term: int
+
+
+class Granted(msgspec.Struct, array_like=True, tag=9):
+    """The vote."""
+
+    term: int
+
+
 class Store(msgspec.Struct, array_like=True, tag=10):
     """Sync this to disk."""
 
@@ -101,7 +115,7 @@
     list_age_ms: int = 0
 
 
-Datagram = Beat | Probe | Held | Tally | Total | Parts | Busy
+Datagram = Beat | Probe | Held | Tally | Total | Parts | Busy | Claim | Granted
 Call = Store | Pull
 Reply = Stored | Pulled
 
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -18,11 +18,12 @@
 from .config import ConfigFault, Table
 from .config import read as read_config
 from .control import Control
+from .custody import Custody, first
 from .desk import Desk
 from .doors import Door, House
 from .log import configure, say
 from .lookup import answer as lookup_answer
-from .messages import Beat, Busy, Held, Parts, Probe, Tally, Total
+from .messages import Beat, Busy, Claim, Granted, Held, Parts, Probe, Tally, Total
 from .platform import EVERY_S, FIRST_S, STALE_S, Platform
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
 from .scribe import Scribe
@@ -53,6 +54,7 @@
                     incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
         self.register = Register(me, BEAT_S)
         self.catalogue = Catalogue()
+        self.custody = Custody(me.ip)
         self.beats = 0
         pool = BufferPool(most=int(boot.limits.memory_mb * HELD_PART))
         self.servers = Servers(reactor, pool)
@@ -101,6 +103,9 @@
         say("node", "leaving", in_hand=len(self.desk.calls))
         for house in self.houses:
             house.leaving = True
+        now = self.reactor.seconds()
+        self.register.tick(now, self.flags())
+        self.custody.hand_on(first(self._able(now)))
         self.push()
         self.reactor.callLater(0.25 * self.bounds.grace_period, self._leave_when_done)
 
@@ -139,7 +144,8 @@
     def _beat(self, reply: bool = False) -> Beat:
         now = self.reactor.seconds()
         listed = self.catalogue
-        return Beat(self.register.rows(now), self.word.marks(), listed.digest, listed.age_ms(now), reply)
+        return Beat(self.register.rows(now), self.word.marks(), listed.digest, listed.age_ms(now), reply,
+                    self.custody.term, self.custody.holder)  # fmt: skip
 
     def beat(self) -> None:
         self.reactor.callLater(BEAT_S, self.beat)
@@ -188,6 +194,7 @@
                 if message.reply or fresh and self.beats > 0:
                     self.datagrams.send(ip, self._beat())
                 self.scribe.pull(ip, self.word.lacks(message.marks))
+                self.custody.told(message.term, message.holder)
                 self._list_news(ip, message, now)
             case Probe():
                 formed, core, marks, age = self.scribe.seat.answer(now, self.register.core())
@@ -197,6 +204,11 @@
                 self.scribe.held(ip, message)
             case Busy():
                 self.desk.heard(ip, message, now)
+            case Claim():
+                if self.custody.vote(message.term, self._listless(now)):
+                    self.datagrams.send(ip, Granted(message.term))
+            case Granted():
+                self._granted(ip, message.term)
             case Tally() | Total() | Parts():
                 self.teller.told(ip, message)
 
@@ -250,11 +262,38 @@
         self.reactor.callLater(every * self.rng.uniform(0.9, 1.1), self.poll)
         if self.leaving:
             return
-        able = [m for m in self.register.alive(now) if not m.flags & LEAVING]
-        holder = min(able, key=lambda m: (not m.disk, m.place), default=self.register.me)
+        able = self._able(now)
+        next_one = first(able) == self.register.me.ip
+        if next_one and self._listless(now):
+            self._claim()
         age = now - self.catalogue.fetched
         alone = age > STALE_S and now - self.started > 2 * FIRST_S and self.rng.random() < 2 / (1 + len(able))
-        if now - self.started > FIRST_S / 2 and (holder.ip == self.register.me.ip or alone):
+        asks = self.custody.mine or alone or empty and next_one  # a first list is not waited for
+        if asks and now - self.started > FIRST_S / 2:
+            self.platform.fetch()
+
+    def _able(self, now: float) -> list[Member]:
+        return [m for m in self.register.alive(now) if not m.flags & LEAVING]
+
+    def _listless(self, now: float) -> bool:
+        """The holder of the list is not among those that could ask for it."""
+        return self.custody.holder not in {m.ip for m in self._able(now)}
+
+    def _claim(self) -> None:
+        term = self.custody.claim()
+        for ip in self._voters():
+            if ip != self.register.me.ip:
+                self.datagrams.send(ip, Claim(term))
+            elif self.custody.vote(term, True):
+                self._granted(ip, term)
+
+    def _voters(self) -> list[int]:
+        """The core; without one, all there are."""
+        return self.register.core() or sorted(self.register.members)
+
+    def _granted(self, by: int, term: int) -> None:
+        if self.custody.granted(term, by, self._voters()):
+            say("custody", "has the list", term=term)
             self.platform.fetch()
 
     def listed(self, changed: bool) -> None:
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -9,6 +9,7 @@
 from mapleline.policy.window import Tenancy
 from mapleline.system import archive, config, offline, settings, verdict
 from mapleline.system.archive import Entry, Lease, Mark, Word
+from mapleline.system.custody import Custody, first
 from mapleline.system.ledger import Names, holders
 from mapleline.system.register import DISK, READY, Member, Register
 from mapleline.system.verdict import Verdict
@@ -155,6 +156,36 @@
         self.assertEqual(a.members[2].incarnation, 9)
 
 
+class TestCustody(unittest.TestCase):
+    def test_the_holder_names_the_next_and_a_majority_does_once_it_is_lost(self):
+        core = [1, 2, 3, 4]
+        a, b, c = Custody(1), Custody(2), Custody(3)
+        term = a.claim()
+        self.assertEqual([a.granted(term, ip, core) for ip in (1, 9, 2, 2, 3)], [False, False, False, False, True])
+        self.assertTrue(b.told(a.term, a.holder))
+        self.assertFalse(b.told(a.term, a.holder))
+        a.hand_on(3)
+        a.hand_on(2)  # it is no longer its to name
+        self.assertTrue(b.told(a.term, a.holder) and c.told(a.term, a.holder) and c.mine)
+        self.assertFalse(b.vote(b.claim(), lost=False))  # who still hears of the holder does not vote it out
+        self.assertTrue(b.vote(3, lost=True))
+        self.assertFalse(b.vote(3, lost=True))  # one vote a term
+        self.assertEqual(c.told(2, 1), False)  # what is older comes late
+
+    def test_two_claims_of_one_term_never_both_have_a_majority(self):
+        core = [1, 2, 3, 4]
+        seats = {ip: Custody(ip) for ip in core}
+        terms = {ip: seats[ip].claim() for ip in (1, 2)}
+        for voter, order in ((1, (1, 2)), (2, (2, 1)), (3, (1, 2)), (4, (2, 1))):
+            for ip in order:
+                if seats[voter].vote(terms[ip], lost=True):
+                    seats[ip].granted(terms[ip], voter, core)
+        self.assertEqual([seats[ip].mine for ip in (1, 2)], [False, False])  # two votes each: neither
+        self.assertGreater(seats[1].claim(), terms[1])
+        self.assertEqual(first([Member(5, 0, 0), Member(6, 0, DISK), Member(7, 0, DISK)]), 7)
+        self.assertEqual(first([]), 0)
+
+
 class TestTallies(unittest.TestCase):
     def test_the_estimate_refuses_above_the_limit_and_says_when(self):
         self.assertEqual(weighted(10, 0.25, 3), 5.5)
