Reach sockets, threads, disk and time of day by one object (ways.py)

Cause: a whole node could be played only as a process with sockets; failures of several nodes had no test that repeats. Ruled out: patching modules in tests, which would hide what a node depends on. Change: Ways is all that a node has of the outside; the laboratory puts its own in its place. Behaviour as before.

--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -6,7 +6,7 @@
 import random
 import signal
 import sys
-import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -24,13 +24,14 @@
 from .log import configure, say
 from .lookup import answer as lookup_answer
 from .messages import Beat, Busy, Claim, Granted, Held, Parts, Probe, Tally, Total
-from .platform import EVERY_S, FIRST_S, STALE_S, Platform
+from .platform import EVERY_S, FIRST_S, STALE_S
 from .register import DISK, FORMED, LEAVING, READY, Member, Register
 from .scribe import Scribe
-from .servers import STREAM_FROM, Servers
+from .servers import STREAM_FROM
 from .settings import Boot, SettingsFault
 from .settings import read as read_settings
 from .teller import Teller
+from .ways import Ways
 
 BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
@@ -42,45 +43,46 @@
 class Node:
     """The parts of one ingress, joined."""
 
-    def __init__(self, reactor: Any, boot: Boot) -> None:
-        self.reactor, self.boot = reactor, boot
+    def __init__(
+        self, reactor: Any, boot: Boot, ways: Ways | None = None, settings: Callable[[], Boot] | None = None
+    ) -> None:
+        """`ways`: to everything outside, sockets unless told otherwise; `settings` reads the file again."""
+        self.reactor, self.boot, self.settings = reactor, boot, settings or load_settings
+        self.ways = ways = ways or Ways(reactor, boot)
         self.bounds = boot.protocol_bounds
         self.zones = sorted(boot.zones)
-        self.rng = random.Random(boot.node_name + str(time.time_ns()))
+        self.rng = random.Random(f"{boot.node_name} {ways.unix()}")
         self.started = reactor.seconds()
         self.near = {n for n, zone in enumerate(self.zones) if boot.zones[zone] == boot.region}
         self.leaving = False
         me = Member(courier.number(boot.ip_address), self.zones.index(boot.zone), DISK if boot.data_directory else 0,
-                    incarnation=int(time.time() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
+                    incarnation=int(ways.unix() * 10) & 0xFFFFFFFF, beat=self.started)  # fmt: skip
         self.register = Register(me, BEAT_S)
         self.catalogue = Catalogue()
         self.custody = Custody(me.ip)
         self.beats = 0
         pool = BufferPool(most=int(boot.limits.memory_mb * HELD_PART))
-        self.servers = Servers(reactor, pool)
-        self.port = boot.internal_port_range[0]
-        self.datagrams = courier.Datagrams(self.port, self.told)
+        self.servers = ways.servers(pool)
+        self.send = ways.send
         self.scribe = Scribe(
-            reactor, boot, self.register, self.rng, self.datagrams.send, self.apply, self.push, self.give_list,
-            self.take_list,
-        )  # fmt: skip
+            reactor, boot, ways, self.register, self.rng, self.apply, self.push, self.give_list, self.take_list
+        )
         self.word, self.lease = self.scribe.word, self.scribe.lease
-        self.teller = Teller(reactor, boot, self.register, self.datagrams.send, self.tenants)
+        self.teller = Teller(reactor, boot, ways, self.register, self.tenants)
         self.desk = Desk(
             reactor, boot, self.register, self.catalogue, self.servers, self.may_serve, self.teller.ask, self.rng
         )
         self.front = House(reactor, pool, self.desk.take, STREAM_FROM)
         self.control = Control(self)
         self.houses = [self.front]
-        self.platform = Platform(reactor, boot, self.catalogue, self.listed)
+        self.platform = ways.platform(self.catalogue, self.listed)
 
     # -- start and end -------------------------------------------------------------------------------------
 
     def start(self) -> None:
         self.scribe.load()
         boot, listen = self.boot, self.boot.listen_addresses
-        self.reactor.listenUDP(self.port, self.datagrams, interface=boot.ip_address, maxPacketSize=65536)
-        self.reactor.listenTCP(self.port, courier.AnswerFactory(self.scribe.called), interface=boot.ip_address)
+        self.ways.open(self.told, self.scribe.called)
         pool = BufferPool(kept=4)  # never tight: what is said here is taken in whole
         for place, take in ((listen.ready_addr, self.readiness), (listen.control_addr, self.control.take),
                             (listen.directory_addr, self.directory)):  # fmt: skip
@@ -155,7 +157,7 @@
         others = self.register.alive(now)
         beat = self._beat()
         for ip in self.register.watchers(now, self.near, self.beats % FAR_BEATS == 0):
-            self.datagrams.send(ip, beat)
+            self.send(ip, beat)
         if len(others) < 3 or self.beats % 8 == 0:
             missing = self.register.missing(now)
             asked = {courier.number(host) for host, _ in self.boot.seed_nodes}
@@ -164,7 +166,7 @@
             else:
                 asked |= set(missing)
             for ip in sorted(asked - {self.register.me.ip}):
-                self.datagrams.send(ip, self._beat(reply=True))
+                self.send(ip, self._beat(reply=True))
 
     def tell_busy(self) -> None:
         """The ingresses of the region know of each other what they have out."""
@@ -173,7 +175,7 @@
         if told is not None:
             for m in self.register.alive(self.reactor.seconds()):
                 if m.ip != self.register.me.ip and self.boot.zones[self.zones[m.zone]] == self.boot.region:
-                    self.datagrams.send(m.ip, told)
+                    self.send(m.ip, told)
 
     def push(self) -> None:
         """News for all at once."""
@@ -182,7 +184,7 @@
         beat = self._beat()
         for member in self.register.alive(now):
             if member.ip != self.register.me.ip:
-                self.datagrams.send(member.ip, beat)
+                self.send(member.ip, beat)
 
     def told(self, ip: int, message: messages.Datagram) -> None:
         """A datagram has come."""
@@ -192,21 +194,21 @@
                 fresh = self.register.merge(now, message.rows)
                 self.scribe.core_news(now)
                 if message.reply or fresh and self.beats > 0:
-                    self.datagrams.send(ip, self._beat())
+                    self.send(ip, self._beat())
                 self.scribe.pull(ip, self.word.lacks(message.marks))
                 self.custody.told(message.term, message.holder)
                 self._list_news(ip, message, now)
             case Probe():
                 formed, core, marks, age = self.scribe.seat.answer(now, self.register.core())
                 age_ms = int(age * 1000) + 1 if age < 60 else -1
-                self.datagrams.send(ip, Held(message.nonce, formed, core, marks, age_ms))
+                self.send(ip, Held(message.nonce, formed, core, marks, age_ms))
             case Held():
                 self.scribe.held(ip, message)
             case Busy():
                 self.desk.heard(ip, message, now)
             case Claim():
                 if self.custody.vote(message.term, self._listless(now)):
-                    self.datagrams.send(ip, Granted(message.term))
+                    self.send(ip, Granted(message.term))
             case Granted():
                 self._granted(ip, message.term)
             case Tally() | Total() | Parts():
@@ -283,7 +285,7 @@
         term = self.custody.claim()
         for ip in self._voters():
             if ip != self.register.me.ip:
-                self.datagrams.send(ip, Claim(term))
+                self.send(ip, Claim(term))
             elif self.custody.vote(term, True):
                 self._granted(ip, term)
 
@@ -319,7 +321,7 @@
     def reread(self) -> None:
         """The settings file may have changed, with or without a signal."""
         try:
-            boot = load_settings()
+            boot = self.settings()
         except (SettingsFault, OSError):
             return
         if boot.seed_nodes != self.boot.seed_nodes:
--- a/mapleline/system/scribe.py
+++ b/mapleline/system/scribe.py
@@ -7,16 +7,16 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.threads import deferToThread
 
-from . import courier, messages
+from . import messages
 from .archive import Entry
 from .log import say
 from .messages import Held, Probe, Pull, Pulled, Store, Stored
 from .register import DISK, FORMED, Register
 from .seat import Put, Seat
 from .settings import Boot
-from .shelf import CoreNote, Shelf
+from .shelf import CoreNote
+from .ways import Ways
 
 PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 CALL_S = 1.5
@@ -26,17 +26,17 @@
     """`in_force(key)` is called when something newer is held, `push()` tells all; lists of servers travel along."""
 
     def __init__(
-        self, reactor: Any, boot: Boot, register: Register, rng: random.Random,
-        send: Callable[[int, messages.Datagram], None], in_force: Callable[[str | None], None],
-        push: Callable[[], None], give_list: Callable[[], tuple[bytes, int]], take_list: Callable[[float, bytes], None],
+        self, reactor: Any, boot: Boot, ways: Ways, register: Register, rng: random.Random,
+        in_force: Callable[[str | None], None], push: Callable[[], None], give_list: Callable[[], tuple[bytes, int]],
+        take_list: Callable[[float, bytes], None],
     ) -> None:  # fmt: skip
-        self.reactor, self.boot, self.register, self.rng = reactor, boot, register, rng
-        self.send, self.in_force, self.push, self.give_list, self.take_list = send, in_force, push, give_list, take_list
-        self.port, self.started = boot.internal_port_range[0], reactor.seconds()
+        self.reactor, self.boot, self.ways, self.register, self.rng = reactor, boot, ways, register, rng
+        self.in_force, self.push, self.give_list, self.take_list = in_force, push, give_list, take_list
+        self.send, self.started = ways.send, reactor.seconds()
         losses = boot.fault_tolerance.machine_losses
         self.seat = Seat(register.me.ip, bool(boot.data_directory), losses, boot.initial_start)
         self.word, self.lease = self.seat.word, self.seat.lease
-        self.shelf = Shelf(boot.data_directory) if boot.data_directory else None
+        self.shelf = ways.shelf()
         self.waiting: list[tuple[float, Deferred]] = []
         self.pulling: set[str] = set()
         self.nonce = rng.getrandbits(30)
@@ -149,7 +149,7 @@
             self._note(core)
         elif seat.may_join(self.started):
             entries = list(self.word.entries.values())
-            done = deferToThread(lambda: [self.shelf.save(entry) for entry in entries])
+            done = self.ways.in_thread(lambda: [self.shelf.save(entry) for entry in entries])
             done.addCallbacks(lambda _: (self._saved(entries), self._note(core)), self._disk_fault)
 
     def _note(self, core: list[int]) -> None:
@@ -160,7 +160,7 @@
                 say("archive", "formed", core=len(core))
             self.seat.formed, self.seat.noted = True, core
 
-        deferToThread(self.shelf.save_core, note).addCallbacks(noted, self._disk_fault)
+        self.ways.in_thread(self.shelf.save_core, note).addCallbacks(noted, self._disk_fault)
 
     def _saved(self, entries: list[Entry]) -> None:
         for entry in entries:
@@ -193,7 +193,7 @@
             self._disk_fault(reason)
             return Stored(False)
 
-        return deferToThread(self.shelf.save, entry).addCallbacks(kept, refused)
+        return self.ways.in_thread(self.shelf.save, entry).addCallbacks(kept, refused)
 
     def take_entry(self, entry: Entry) -> bool:
         """News of the operator's word, from wherever."""
@@ -232,7 +232,7 @@
                 if not isinstance(reply, Deferred):
                     return stored(reply, ip)
             else:
-                reply = courier.call(self.reactor, ip, self.port, Store(entry), CALL_S)
+                reply = self.ways.call(ip, Store(entry), CALL_S)
             reply.addBoth(stored, ip)
 
         def late() -> None:
@@ -268,4 +268,4 @@
             if then is not None:
                 then()
 
-        courier.call(self.reactor, ip, self.port, Pull(keys, servers), CALL_S).addBoth(pulled)
+        self.ways.call(ip, Pull(keys, servers), CALL_S).addBoth(pulled)
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Any
 
 from ..policy.window import Ask
-from . import messages
 from .ledger import Names, holders, shard_of
 from .messages import Parts, Tally, Total
 from .register import LEAVING, Register
 from .settings import Boot
+from .ways import Ways
 
 AGAIN_S = 0.045  # the nearer holder is asked again, and the other one as well
 MOST_S = 0.16  # then the request is refused: a fifth of the shortest aim seen
@@ -32,13 +31,13 @@
 
 
 class Teller:
-    """`send(ip, message)` may lose it; `tenants()` tells how many there are."""
+    """`tenants()` tells how many there are."""
 
     def __init__(
-        self, reactor: Any, boot: Boot, register: Register, send: Callable[[int, messages.Datagram], None],
-        tenants: Callable[[], int],
-    ) -> None:  # fmt: skip
-        self.reactor, self.boot, self.register, self.send, self.tenants = reactor, boot, register, send, tenants
+        self, reactor: Any, boot: Boot, ways: Ways, register: Register, tenants: Callable[[], int]
+    ) -> None:
+        self.reactor, self.boot, self.register, self.tenants = reactor, boot, register, tenants
+        self.send, self.unix = ways.send, ways.unix
         self.zones = sorted(boot.zones)
         self.me = register.me
         self.names = Names(register.me.ip)
@@ -47,7 +46,7 @@
         self.suspect: dict[int, float] = {}
         self.unheard: dict[int, float] = {}  #: other holders, and since when they owe us a word
         self.homes: dict[str, tuple[str, ...]] = {}  #: of the tenants whose names are held here
-        self.nonce = int(time.time() * 1000) & 0x3FFFFFFF  # another life's nonces are others
+        self.nonce = int(self.unix() * 1000) & 0x3FFFFFFF  # another life's nonces are others
         reactor.callLater(TELL_S, self._tell)
 
     def _holders(self, tenant: str, homes: tuple[str, ...]) -> list[int]:
@@ -77,7 +76,7 @@
         if not order:
             ask.done(None)
             return
-        window, left = ask.tenancy.place(time.time())
+        window, left = ask.tenancy.place(self.unix())
         self.nonce = (self.nonce + 1) & 0x7FFFFFFF
         one = _Open(ask, Tally(self.nonce, ask.tenancy.name, window, 1.0, list(homes), ask.tenancy.limit), left, order)
         self.open[self.nonce] = one
