--- a/mapleline/system/ledger.py
+++ b/mapleline/system/ledger.py
@@ -115,9 +115,9 @@
                 found.append(Part(tenant, window, [(ip, *row) for ip, row in name.rows.items()]))
         return found
 
-    def tenants(self) -> set[str]:
+    def tenants(self) -> list[str]:
         """Of whom there are names here."""
-        return {tenant for tenant, _ in self._names}
+        return list(dict.fromkeys(tenant for tenant, _ in self._names))
 
     def own(self, tenant: str, window: int) -> float:
         """What this holder itself was asked for."""
--- /dev/null
+++ b/tests/system/test_days.py
@@ -0,0 +1,132 @@
+"""Whole nodes on a clock of their own: days of trouble, each judged by the operators' rules.
+
+A directed day says which failure it brings about; with the defence taken out the judge has to find the rule broken.
+"""
+
+import logging
+import unittest
+from unittest import mock
+
+from mapleline.lab.days import ZONES, play
+from mapleline.policy.window import Tenancy
+from mapleline.system import desk, seat
+from mapleline.system.archive import Word
+from mapleline.system.desk import Desk
+from mapleline.system.messages import Stored
+from mapleline.system.node import Node
+from mapleline.system.scribe import Scribe
+
+
+def calm(day):
+    """Traffic, and the closing loss of all."""
+
+
+def revoked_behind_a_cut(day):
+    """One ingress is cut off from all others; keys are taken away, and its clients go on with them."""
+    others = list(day.world.machines.values())
+    one = next(m for m in others if m.disk is None)
+    day.cut([one], others, 9.0)
+    for n, tenant in enumerate(("t1", "t2")):
+        day.world.after(0.5 + n, lambda tenant=tenant: day.operator.config(revoke=tenant))
+
+
+def cold_zone(day):
+    """A zone's servers start anew while much is asked of them, in little pieces."""
+    day.world.work_s = dict.fromkeys(day.world.work_s, 0.05)
+    day.hot["t4"] = 40.0  # it has no limit
+    day.restart([s for s in day.world.servers.values() if s.zone == "a1"])
+
+
+def slow_disks(day):
+    """No disk answers until well after the last change was sent."""
+    for machine in day.world.core:
+        machine.disk.hangs_until = day.world.now + 5.0
+
+
+def emptied(day):
+    """A zone's servers are to get nothing."""
+    day.operator.evacuate("a1", 9.0)
+
+
+def hot(day):
+    """A tenant sends many times its usual."""
+    day.hot["t1"] = 8.0
+
+
+def answers_lost(day):
+    """Servers run requests, and their answers are lost."""
+    for server in day.world.servers.values():
+        server.lose_share = 0.1
+
+
+def full(day):
+    """Twice what the servers bear."""
+    answers_lost(day)
+    day.hot["t4"] = 30.0
+
+
+def races(day):
+    """Two operators at once, again and again."""
+    for n in range(6):
+        day.world.after(0.3 + n, day.race)
+
+
+class TestDays(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def holds(self, troubles, length=6.0, closing="none", load=1.0):
+        found, day = play(3, troubles, length, closing, load)
+        self.assertEqual(found, [])
+        return day
+
+    def breaks(self, rule, troubles, mutant, length=6.0, closing="none", load=1.0):
+        """The rule holds, and is found broken with the defence taken out."""
+        self.holds(troubles, length, closing, load)
+        with mutant:
+            found, _ = play(3, troubles, length, closing, load)
+        self.assertTrue([line for line in found if line.startswith(rule)], f"{rule} not among {found[:3]}")
+
+    def test_days_by_lot_break_no_rule(self):
+        for seed in (11, 12):
+            found, day = play(seed)
+            self.assertEqual(found, [], f"seed {seed}")
+
+    def test_all_is_served_on_a_calm_day(self):
+        day = self.holds(calm, 10.0)
+        ids = [s for s in day.record.sent.values() if 1007.0 < s.at < 1013.0]
+        ended = [s.status for s in ids if s.status not in (401, 429)]
+        self.assertGreater(ended.count(200) / len(ended), 0.99)
+        asked = [at for at, _ in day.world.list_calls if 1006.0 < at < 1016.0]
+        self.assertLess(len(asked), 14)  # one asks the platform, each 0.8 s
+        self.assertEqual(len(ZONES), len({m.zone for m in day.world.core}))
+
+    def test_a_revoked_key_is_of_no_use_at_an_ingress_that_is_cut_off(self):
+        certain = mock.patch.object(Node, "may_serve", lambda self: self.desk.table is not None)
+        self.breaks("CONFIG", revoked_behind_a_cut, certain, 10.0, load=2.0)
+
+    def test_nothing_acknowledged_is_lost_with_the_power_of_all_and_one_disk(self):
+        def keep(self, entry):
+            self.ways.in_thread(self.shelf.save, entry).addErrback(lambda _: None)
+            return Stored(True)
+
+        self.breaks("LOST", slow_disks, mock.patch.object(Scribe, "keep", keep), 1.0, "kill")
+        self.breaks("LOST", calm, mock.patch.object(seat, "write_quorum", lambda n, losses: 1), 1.0, "wipe")
+
+    def test_what_is_in_force_never_goes_back(self):
+        def offer(self, entry):
+            self.entries[entry.key] = entry
+            return True
+
+        self.breaks("CONFIG", races, mock.patch.object(Word, "offer", offer))
+
+    def test_cold_and_emptied_servers(self):
+        self.breaks("FAILBACK", cold_zone, mock.patch.object(Desk, "is_cold", lambda *_: False), 4.0, load=2.0)
+        self.breaks("EVAC", emptied, mock.patch.object(Word, "evacuated", lambda self: set()), 9.0)
+        self.breaks("HOME", calm, mock.patch.object(Desk, "_homes", lambda *_: None), 1.0)
+
+    def test_quotas_and_what_may_have_run(self):
+        self.breaks("QUOTA", hot, mock.patch.object(Tenancy, "over", lambda *_: None))
+        self.breaks("TWICE", answers_lost, mock.patch.object(desk.verdict, "may_repeat", lambda *_: True))
+        self.breaks("REFUSED", answers_lost, mock.patch.object(desk.verdict, "final_status", lambda *_: 503))
