Keep a history of what was in force and which orders were answered, and roll back to it

Ruled out: the history as part of the word (it would have to be lasting before an acknowledgement, and mended). A put that is refused before the core knows itself leaves nothing in force. Clients of the laboratory that stay where they are.

--- a/mapleline/lab/days.py
+++ b/mapleline/lab/days.py
@@ -16,6 +16,7 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 CALM_S, DAY_S, AFTER_S, RECOVER_S = 6.0, 24.0, 8.0, 6.0
 SAMPLE_S = 0.1
+KEEP_SHARE = 0.1  # of clients that stay where they are connected
 HOST = "day.example"
 
 
@@ -160,6 +161,7 @@
         self.operator = Operator(self)
         self.tries, self.asked = 0, {}
         self.directory: dict[str, list[Machine]] = {}
+        self.kept: dict[str, list[Machine]] = {}  #: the first answers, which some clients go on with
         self.hot: dict[str, float] = {}
         self.open_until = float("inf")
 
@@ -174,6 +176,7 @@
             if status == 200:
                 found = [a.split(":")[0] for a in json.loads(body)["address_list"]]
                 self.directory[zone] = [m for m in world.machines.values() if m.address in found]
+                self.kept.setdefault(zone, self.directory[zone])
 
         near = [m for m in world.machines.values() if ZONES[m.zone] == ZONES[zone]]
         path = f"/lookup?name={HOST}&region={ZONES[zone]}&zone={zone}"
@@ -193,7 +196,8 @@
 
     def attempt(self, id: str, name: str, tenant: str, zone: str, end: float, left: int, avoid: str = "") -> None:
         world, kind = self.world, KINDS[name]
-        able = [m for m in self.directory.get(zone, ()) if m.name != avoid] or list(world.machines.values())
+        known = self.kept if self.rng.random() < KEEP_SHARE else self.directory
+        able = [m for m in known.get(zone, ()) if m.name != avoid] or list(world.machines.values())
         machine = self.rng.choice(able)
         # a client that is connected goes on with the key it has, also once that was taken away
         key = self.rng.choice([f"{tenant}-k{n}" for n in range(3)])
--- a/mapleline/lab/world.py
+++ b/mapleline/lab/world.py
@@ -270,6 +270,9 @@
     def shelf(self) -> Any:
         return self.disk
 
+    def history(self) -> None:
+        """None is kept."""
+
     def servers(self, pool: Any) -> Servers:
         return Lines(self)
 
--- a/mapleline/system/calls.py
+++ b/mapleline/system/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 
 from expression import Error, Ok, Result
 
@@ -42,3 +43,15 @@
                 return Error(said)
             break
     return Error(said)
+
+
+def rollback(at: str, version: int) -> Result[str, str]:
+    """Send an earlier configuration again, as the version after the newest; the new version's number."""
+    def send(bodies: tuple[str, str]) -> Result[str, str]:
+        old, newest = (json.loads(body) for body in bodies)
+        old["config_version"] = newest["config_version"] + 1
+        sent = ask(at, "POST", "/config/replace", json.dumps(old).encode())
+        return sent.map(lambda _: f"version {version} is in force again as {old['config_version']}")
+
+    old = ask(at, "GET", f"/config/history/{version}")
+    return old.bind(lambda body: ask(at, "GET", "/config/read").bind(lambda newest: send((body, newest))))
--- a/mapleline/system/commands.py
+++ b/mapleline/system/commands.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated
 
@@ -12,7 +13,7 @@
 from expression import Error, Ok, Result
 
 from . import offline
-from .calls import ask
+from .calls import ask, rollback
 
 AT = cappa.Arg(long="--at", help="control addresses, host:port, tried in order; commas between them")
 
@@ -73,19 +74,53 @@
         tell(body.bind(lambda text: ask(self.at, "POST", "/config/replace", text)).map(lambda _: "acknowledged"))
 
 
-@cappa.command(name="read", help="The newest configuration, whole")
+@cappa.command(name="read", help="The newest configuration, whole, or an earlier one")
 @dataclass
 class ConfigRead:
     at: Annotated[str, AT]
+    version: Annotated[int | None, cappa.Arg(long="--version", help="one that a machine's history still has")] = None
 
     def __call__(self) -> None:
-        tell(ask(self.at, "GET", "/config/read"))
+        path = "/config/read" if self.version is None else f"/config/history/{self.version}"
+        tell(ask(self.at, "GET", path))
+
+
+@cappa.command(name="history", help="What came into force, and which orders were answered, newest first")
+@dataclass
+class ConfigHistory:
+    at: Annotated[str, AT]
+    json: Annotated[bool, cappa.Arg(long="--json", help="as JSON, whole")] = False
+
+    def __call__(self) -> None:
+        found = ask(self.at, "GET", "/config/history")
+        tell(found if self.json else found.map(tables))
+
+
+def tables(text: str) -> str:
+    """A history's rows for people."""
+    from boltons.tableutils import Table
+
+    def when(row: dict) -> dict:
+        return {**row, "at": datetime.fromtimestamp(row["at"], UTC).isoformat(" ", "milliseconds")}
+
+    parts = json.loads(text).items()
+    return "\n\n".join(f"{name}\n{Table.from_data([when(row) for row in rows]).to_text()}" for name, rows in parts)
+
+
+@cappa.command(name="rollback", help="Put an earlier configuration in force again, as the version after the newest")
+@dataclass
+class ConfigRollback:
+    version: int
+    at: Annotated[str, AT]
+
+    def __call__(self) -> None:
+        tell(rollback(self.at, self.version))
 
 
 @cappa.command(help="The operator's configuration")
 @dataclass
 class Config:
-    what: cappa.Subcommands[ConfigCheck | ConfigPut | ConfigRead]
+    what: cappa.Subcommands[ConfigCheck | ConfigPut | ConfigRead | ConfigHistory | ConfigRollback]
 
 
 @cappa.command(help="Send nothing more to a zone's servers (begin), or take it back (finish)")
--- a/mapleline/system/control.py
+++ b/mapleline/system/control.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 from zlib import crc32
 
 from twisted.internet.defer import Deferred
 
 from ..http1.messages import Request
 from .archive import CONFIG, EVACUATION, REMOVED, Entry
+from .chronicle import Chronicle
 from .config import ConfigFault
 from .config import read as read_config
 from .courier import host, number
 from .doors import Door
 from .log import say
+from .register import FORMED
 
 if TYPE_CHECKING:
     from .node import Node
@@ -35,6 +38,10 @@
                 self.replace(door, request.body)
             case "GET", ["config", "read"]:
                 self.node.scribe.confirm().addCallback(lambda known: self.read(door, known))
+            case "GET", ["config", "history"]:
+                self.history(door, path, lambda kept: kept.rows())
+            case "GET", ["config", "history", version] if version.isdigit():
+                self.history(door, path, lambda kept: kept.body(int(version)))
             case "POST", ["evacuations", zone, "begin" | "finish" as order]:
                 if zone not in self.node.boot.zones:
                     return door.reply(404, b"no such zone")
@@ -64,6 +71,9 @@
             took = round(node.reactor.seconds() - began, 3)
             text = "acknowledged" if kept else "not acknowledged"
             say("archive", text, key=key, version=version, took=took)
+            history = node.scribe.history
+            if history is not None:
+                node.scribe.recall(history.order, node.ways.unix(), key, version, kept, took)
             if kept:
                 door.reply(200, b"{}", JSON)
             else:
@@ -120,6 +130,27 @@
             return door.reply(409, b"too few would be left to bear a loss")
         self._tell(door, node.scribe.forget(ip, self._within / 4), f"{REMOVED}{ip}", 2)
 
+    def history(self, door: Door, path: str, read: Callable[[Chronicle], Any]) -> None:
+        """What this machine's history says; one without a disk names one that has it."""
+        import msgspec
+
+        node, scribe = self.node, self.node.scribe
+        if scribe.history is None:
+            now = node.reactor.seconds()
+            others = [m.ip for m in node.register.alive(now, FORMED)]
+            if not others:
+                return self._unsure(door)
+            to = f"http://{host(node.rng.choice(others))}:{node.boot.listen_addresses.control_addr[1]}{path}"
+            return door.reply(307, b"", b"Location: %b\r\n" % to.encode())
+
+        def found(answer: Any) -> None:
+            if answer is None:
+                door.reply(404, b"not in this history (or it can't be read: see the log)")
+            else:
+                door.reply(200, answer if isinstance(answer, bytes) else msgspec.json.encode(answer), JSON)
+
+        scribe.recall(read, scribe.history).addCallback(found)
+
     def status(self, door: Door) -> None:
         """What this ingress knows, for people."""
         import msgspec
--- a/mapleline/system/scribe.py
+++ b/mapleline/system/scribe.py
@@ -38,7 +38,7 @@
         losses = boot.fault_tolerance.machine_losses
         self.seat = Seat(register.me.ip, bool(boot.data_directory), losses, boot.initial_start)
         self.word, self.lease = self.seat.word, self.seat.lease
-        self.shelf = ways.shelf()
+        self.shelf, self.history = ways.shelf(), ways.history()
         self.disk_fault: str | None = None  #: why the disk last refused, until it takes something
         self.waiting: list[tuple[float, Deferred]] = []
         self.pulling: set[str] = set()
@@ -188,7 +188,7 @@
 
     def keep(self, entry: Entry) -> Any:
         """Synced to this machine's disk, or something newer is: a reply or a Deferred of one."""
-        if self.shelf is None:
+        if self.shelf is None or self.seat.founding:
             return Stored(False)
         if self.seat.has_kept(entry):
             return Stored(self.seat.takes)
@@ -212,19 +212,29 @@
             self.seat.count(())
             say("register", "taken away from the core", machine=courier.host(int(entry.key.removeprefix(REMOVED))))
         self.in_force(entry.key)
+        if self.history is not None:
+            self.recall(self.history.keep, self.ways.unix(), entry)
         return True
 
+    def recall(self, work: Callable[..., Any], *with_: Any) -> Deferred:
+        """Something of the history, which may be refused without harm."""
+        def refused(reason: Any) -> None:
+            reason.trap(OSError)
+            say("archive", "history refused", error=reason.getErrorMessage())
+
+        return self.ways.in_thread(work, *with_).addErrback(refused)
+
     def put(self, entry: Entry, timeout_s: float) -> Deferred:
         """Fires with whether the entry, or what outranks it, stands on a write quorum."""
         done: Deferred = Deferred()
         self.seat.count(self.register.core())
         need = self.seat.quorum()
+        if sum(self._formed(ip) for ip in self.seat.core()) < need:
+            done.callback(False)  # nobody knows yet how many the core are
+            return done
         end = self.reactor.seconds() + timeout_s
         self.take_entry(entry)
         core = self.seat.core()  # without the one that the entry itself takes away
-        if sum(self._formed(ip) for ip in core) < need:
-            done.callback(False)  # nobody knows yet how many the core are
-            return done
         put = Put(need)
 
         def stored(reply: Any, ip: int) -> None:
--- a/mapleline/system/seat.py
+++ b/mapleline/system/seat.py
@@ -129,13 +129,17 @@
             self.lease.relay(asked, age)
         return True
 
+    @property
+    def founding(self) -> bool:
+        """The whole system starts for the first time, and the core does not know itself yet: nothing is kept."""
+        return self.initial and not self.formed and not self.durable
+
     def may_found(self, lived: float, quiet: float, whole: bool) -> bool:
         """The first core: every zone has shown a machine with a disk, and no other has come for a while."""
-        if not self.disk or not self.initial or self.durable:
+        if not self.disk or not self.founding:
             return False
         return lived > FOUND_LEAST_S and quiet > FOUND_QUIET_S and (whole or lived > FOUND_MOST_S)
 
     def may_join(self, started: float) -> bool:
         """A disk that came back empty, or a new one: what it holds now is all that was acknowledged before."""
-        founding = self.initial and not self.durable
-        return self.disk and not self.formed and not founding and self.lease.since() > started
+        return self.disk and not self.formed and not self.founding and self.lease.since() > started
--- a/mapleline/system/settings.py
+++ b/mapleline/system/settings.py
@@ -52,6 +52,7 @@
 class Limits(_Part):
     memory_mb: int = 300
     max_file_descriptors: int = 4100
+    disk_mb: int = 64
 
 
 class Tolerance(_Part):
--- a/mapleline/system/trial.py
+++ b/mapleline/system/trial.py
@@ -20,7 +20,7 @@
 
 from expression import Result
 
-from .calls import ask
+from .calls import ask, rollback
 
 ZONES = {"z1": "east", "z2": "east", "z3": "west"}
 FRONT, READY, CONTROL, DIRECTORY, INTERNAL = 8388, 8384, 8381, 8383, 7560
@@ -202,6 +202,8 @@
         ("the others serve by it", lambda: all(served(z, "/free/x", f"b-{z}") for z in zones[:2])),
         ("and no longer by the last", lambda: trial.ask("z1", "/slots/x", "c")[0] == 404),
         ("the lost machine is back and serves by it", lambda: trial.start("z3", False) or served("z3", "/free/x", "d")),
+        ("the history has the first version, and it is put in force again", lambda: rollback(trial.control, 1).is_ok()),
+        ("every ingress serves by that", lambda: all(served(z, "/slots/x", f"r-{z}") for z in zones)),
         ("an evacuation is acknowledged", lambda: ask(trial.control, "POST", "/evacuations/z2/begin").is_ok()),
         ("the zone's servers get nothing", elsewhere),
         ("a booking runs once", lambda: served("z1", "/book/7", "once") and
--- a/mapleline/system/ways.py
+++ b/mapleline/system/ways.py
@@ -15,11 +15,14 @@
 from ..http1.buffers import BufferPool
 from . import courier, messages
 from .catalogue import Catalogue
+from .chronicle import Chronicle
 from .platform import Platform
 from .servers import Servers
 from .settings import Boot
 from .shelf import Shelf
 
+HISTORY_PART = (1 << 20) // 8  # of the disk
+
 
 class Ways:
     """Those of a real process."""
@@ -57,6 +60,10 @@
     def shelf(self) -> Shelf | None:
         return Shelf(self.boot.data_directory) if self.boot.data_directory else None
 
+    def history(self) -> Chronicle | None:
+        most = self.boot.limits.disk_mb * HISTORY_PART
+        return Chronicle(self.boot.data_directory, most) if self.boot.data_directory else None
+
     def servers(self, pool: BufferPool) -> Servers:
         return Servers(self.reactor, pool)
 
--- a/tests/system/test_days.py
+++ b/tests/system/test_days.py
@@ -27,7 +27,7 @@
     one = next(m for m in others if m.disk is None)
     day.cut([one], others, 9.0)
     for n, tenant in enumerate(("t1", "t2")):
-        day.world.after(0.5 + n, lambda tenant=tenant: day.operator.config(revoke=tenant))
+        day.world.after(0.5 + n, lambda tenant=tenant: day.operator.config(revoke=tenant, at=day.world.core[0]))
 
 
 def cold_zone(day):
@@ -104,7 +104,7 @@
 
     def test_a_revoked_key_is_of_no_use_at_an_ingress_that_is_cut_off(self):
         certain = mock.patch.object(Node, "may_serve", lambda self: self.desk.table is not None)
-        self.breaks("CONFIG", revoked_behind_a_cut, certain, 10.0, load=2.0)
+        self.breaks("CONFIG", revoked_behind_a_cut, certain, 10.0, load=3.0)
 
     def test_nothing_acknowledged_is_lost_with_the_power_of_all_and_one_disk(self):
         def keep(self, entry):
--- a/tests/system/test_shelf.py
+++ b/tests/system/test_shelf.py
@@ -9,6 +9,7 @@
 
 from mapleline.system import offline, shelf
 from mapleline.system.archive import Entry
+from mapleline.system.chronicle import Chronicle
 from mapleline.system.shelf import CoreNote, Shelf
 
 
@@ -94,3 +95,35 @@
             self.assertEqual((entries[0].body, note), (b"seven", None))
             self.assertIn("already", offline.restore_archive(Path(other), dump.encode()).error)
             self.assertIn("no dump", offline.restore_archive(Path(other), b"{}").error)
+
+
+class TestChronicle(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.history = Chronicle(folder.name, 3000)
+
+    def test_versions_are_kept_once_and_pruned_from_the_oldest(self):
+        bodies = {n: os.urandom(1000) for n in range(1, 5)}
+        for n, body in bodies.items():
+            for _ in range(2):
+                self.history.keep(100.0 + n, Entry("config", n, "t", body))
+        self.history.order(105.0, "config", 4, True, 0.08)
+        rows = self.history.rows()
+        kept = [(row["version"], row["kept"]) for row in rows["word"]]
+        self.assertEqual(kept, [(4, True), (3, True), (2, False), (1, False)])
+        self.assertEqual([self.history.body(n) for n in (4, 2, 9)], [bodies[4], None, None])
+        self.assertEqual(rows["orders"], [{"at": 105.0, "key": "config", "version": 4, "acknowledged": True,
+                                           "took_s": 0.08}])  # fmt: skip
+
+    def test_a_history_that_cannot_be_read_is_put_aside(self):
+        self.history.keep(1.0, Entry("config", 1, "", b"one"))
+        self.history.path.write_bytes(b"torn" * 2000)
+        self.history.keep(2.0, Entry("config", 2, "", b"two"))
+        self.assertEqual([r["version"] for r in self.history.rows()["word"]], [2])
+        self.assertTrue(self.history.path.with_suffix(".bad").exists())
+
+    def test_a_disk_that_refuses_is_told_as_such(self):
+        self.history.path = self.history.path.parent / "none" / "history.sqlite"
+        with self.assertRaises(OSError):
+            self.history.rows()
