Let who is cut off with few let in no more than its part of a limit

Ruled out: counting double while the other holder is unheard (there already: it ends when the register drops it). Change: where half or fewer of the last minute's ingresses are heard of, totals count known over heard.

--- a/mapleline/system/register.py
+++ b/mapleline/system/register.py
@@ -96,6 +96,14 @@
         return [m for m in self.members.values()
                 if now - m.beat <= self.silent_s and m.flags & flags == flags]  # fmt: skip
 
+    def alone(self, now: float) -> float:
+        """All that were heard of in the last minute over those heard of lately, where these are no more than half:
+        behind a cut, the others are there as well and let in what they would.  Else 1.
+        """
+        known = sum(1 for m in self.members.values() if now - m.beat <= FORGET_S and not m.flags & LEAVING)
+        lately = len(self.alive(now))
+        return known / lately if 2 * lately <= known else 1.0
+
     def core(self) -> list[int]:
         """Machines with a disk, alive or not."""
         return sorted(m.ip for m in self.members.values() if m.disk)
--- a/mapleline/system/teller.py
+++ b/mapleline/system/teller.py
@@ -156,7 +156,8 @@
                                 for other in self._holders(message.tenant, homes)):  # fmt: skip
             before = max(before, 2 * self.names.own(message.tenant, message.window))  # a cut: it lets in as much
             previous = max(previous, 2 * self.names.own(message.tenant, message.window - 1))
-        return Total(message.nonce, before, previous)
+        alone = self.register.alone(now)
+        return Total(message.nonce, before * alone, previous * alone)
 
     def _total(self, ip: int, total: Total) -> None:
         self.misses.pop(ip, None)
--- a/tests/system/test_days.py
+++ b/tests/system/test_days.py
@@ -14,6 +14,7 @@
 from mapleline.system.desk import Desk
 from mapleline.system.messages import Stored
 from mapleline.system.node import Node
+from mapleline.system.register import Register
 from mapleline.system.scribe import Scribe
 
 
@@ -153,6 +154,15 @@
         self.breaks("EVAC", emptied, mock.patch.object(Word, "evacuated", lambda self: set()), 9.0)
         self.breaks("HOME", calm, mock.patch.object(Desk, "_homes", lambda *_: None), 1.0)
 
+    def test_an_ingress_that_is_cut_off_lets_in_no_more_than_its_part(self):
+        def cut_off(day):
+            day.hot["t1"] = 4.0
+            others = list(day.world.machines.values())
+            day.cut([others[-1]], others, 9.0)
+            day.kept["b2"] = [others[-1]]
+
+        self.breaks("QUOTA", cut_off, mock.patch.object(Register, "alone", lambda *_: 1.0), 9.0, load=3.0)
+
     def test_quotas_and_what_may_have_run(self):
         self.breaks("QUOTA", hot, mock.patch.object(Tenancy, "over", lambda *_: None))
         self.breaks("TWICE", answers_lost, mock.patch.object(desk.verdict, "may_repeat", lambda *_: True))
