--- a/tests/system/test_core_model.py
+++ b/tests/system/test_core_model.py
@@ -9,6 +9,10 @@
 import unittest
 from unittest import mock
 
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.strategies import booleans, integers, permutations, sampled_from
+
 from mapleline.system import archive, seat
 from mapleline.system.archive import CONFIG, REMOVED, Entry
 from mapleline.system.seat import Put, Seat
@@ -272,7 +276,70 @@
         walk(seed)
 
 
+class Histories(RuleBasedStateMachine):
+    """The same world, driven by hypothesis: what it finds it makes as short as it can."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    machine, disk, nth = sampled_from(ALL), sampled_from(CORE), integers(0, 9)
+    order, pause = permutations(CORE), sampled_from([0.05, 0.6, 3.0])
+
+    @rule(passed=pause)
+    def time_passes(self, passed):
+        self.world.time_passes(passed)
+
+    @rule(at=machine, order=order, through=booleans())
+    def put(self, at, order, through):
+        self.world.put_through(at, order) if through else self.world.put(at)
+
+    @rule(nth=nth, ip=disk)
+    def store(self, nth, ip):
+        self.world.store(nth, ip)
+
+    @rule(ip=machine, wiped=booleans())
+    def restart(self, ip, wiped):
+        self.world.wipe(ip) if wiped and ip in CORE else self.world.restart(ip)
+
+    @rule(ip=machine, order=order, others=integers(0, 4))
+    def ask(self, ip, order, others):
+        self.world.ask_some(ip, order, others)
+
+    @rule(ip=machine, order=order, at=machine, by=order, passed=pause)
+    def overtaken(self, ip, order, at, by, passed):
+        self.world.overtaken(ip, order, at, by, passed)
+
+    @rule(nth=nth)
+    def answer(self, nth):
+        self.world.answer(nth)
+
+    @rule(at=machine, order=order)
+    def slow_put(self, at, order):
+        self.world.slow_put(at, order)
+
+    @rule(ip=disk, order=order, late=booleans())
+    def put_amid(self, ip, order, late):
+        self.world.put_amid(ip, order, late)
+
+    @rule()
+    def join(self):
+        self.world.join()
+
+    @invariant()
+    def holds(self):
+        self.world.check("hypothesis")
+
+
 class TestModel(unittest.TestCase):
+    def test_hypothesis_finds_no_history_and_finds_a_mutant(self):
+        how = settings(max_examples=60, stateful_step_count=40, derandomize=True, deadline=None, database=None,
+                       suppress_health_check=list(HealthCheck))  # fmt: skip
+        run_state_machine_as_test(Histories, settings=how)
+        with mock.patch.object(seat, "write_quorum", lambda n, losses: archive.write_quorum(n, losses) - 1), \
+                self.assertRaises(AssertionError):
+            run_state_machine_as_test(Histories, settings=how)
+
     def test_no_history_loses_what_was_acknowledged(self):
         search(1200)
 
