Teach a new word from the core, each of its machines its part of the others

Ruled out: differences of configurations (16 kB there; the fan-out is the cost, not the size). Change: nobody is told by who takes the order; each machine of the core that learns of it tells those it is the nearest for. From an ingress without a disk it is fetched only after 0.6 s, or where no core is heard of.

--- a/mapleline/lab/world.py
+++ b/mapleline/lab/world.py
@@ -223,6 +223,7 @@
     def call(self, ip: int, message: messages.Call, timeout_s: float) -> Deferred:
         world, to, done = self.world, self.world.by_ip.get(ip), Deferred()
         world.sent["calls"] = world.sent.get("calls", 0) + len(messages.encode(message)) + 200
+        world.calls.append((world.now, self.name, to.name if to is not None else "", type(message).__name__))
         life = self.life
 
         def fires(fire: Callable[[Any], None], value: Any) -> None:
@@ -428,6 +429,7 @@
         self.cuts: set[tuple[str, str]] = set()  #: from, to
         self.listless: set[str] = set()  #: machines that do not reach the platform
         self.sent: dict[str, int] = {}  #: bytes by kind of message
+        self.calls: list[tuple[float, str, str, str]] = []  #: when, by whom, to whom, which
         self.machines = {m.name: m for zone in self.zone_names for n in range(1, others + 2)
                          for m in [Machine(self, zone, n, n == 1)]}  # fmt: skip
         self.by_ip = {m.ip: m for m in self.machines.values()}
--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -65,7 +65,7 @@
         self.servers = ways.servers(pool)
         self.send = ways.send
         self.scribe = Scribe(
-            reactor, boot, ways, self.register, self.rng, self.apply, self.push, self.give_list, self.take_list
+            reactor, boot, ways, self.register, self.rng, self.apply, self.teach, self.give_list, self.take_list
         )
         self.word, self.lease = self.scribe.word, self.scribe.lease
         self.teller = Teller(reactor, boot, ways, self.register, self.tenants)
@@ -187,6 +187,26 @@
             if member.ip != self.register.me.ip:
                 self.send(member.ip, beat)
 
+    def teach(self) -> None:
+        """Something new of the operator's word is here: a machine of the core tells its part of the others, those of
+        its own zone and whoever else it is the nearest for.
+        """
+        now = self.reactor.seconds()
+        core = [m for m in self.register.alive(now, DISK)]
+        beat = self._beat()
+        for member in self.register.alive(now):
+            if not member.disk and self._teacher(member, core) == self.register.me.ip:
+                self.send(member.ip, beat)
+
+    def _teacher(self, member: Member, core: list[Member]) -> int:
+        zone, regions = self.zones[member.zone], self.boot.zones
+
+        def far(one: Member) -> tuple[bool, bool, int]:
+            other = self.zones[one.zone]
+            return regions[other] != regions[zone], other != zone, one.place ^ member.place
+
+        return min(core, key=far, default=self.register.me).ip
+
     def told(self, ip: int, message: messages.Datagram) -> None:
         """A datagram has come."""
         now = self.reactor.seconds()
@@ -196,7 +216,7 @@
                 self.scribe.core_news(now)
                 if message.reply or fresh and self.beats > 0:
                     self.send(ip, self._beat())
-                self.scribe.pull(ip, self.word.lacks(message.marks))
+                self.scribe.heard_of(ip, message.marks, now)
                 self.custody.told(message.term, message.holder)
                 self._list_news(ip, message, now)
             case Probe():
--- a/mapleline/system/register.py
+++ b/mapleline/system/register.py
@@ -101,7 +101,7 @@
         behind a cut, the others are there as well and let in what they would.  Else 1.
         """
         known = sum(1 for m in self.members.values() if now - m.beat <= FORGET_S and not m.flags & LEAVING)
-        lately = len(self.alive(now))
+        lately = max(1, len(self.alive(now)))  # who was frozen does not hear of itself
         return known / lately if 2 * lately <= known else 1.0
 
     def core(self) -> list[int]:
--- a/mapleline/system/scribe.py
+++ b/mapleline/system/scribe.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from . import courier, messages
-from .archive import REMOVED, Entry, digests, range_of
+from .archive import REMOVED, Entry, Mark, digests, range_of
 from .log import say
 from .messages import Compare, Differ, Held, Probe, Pull, Pulled, Store, Stored
 from .register import DISK, FORMED, Register
@@ -20,20 +20,23 @@
 
 PROBE_S, PROBE_HASTE_S, RELAYS = 1.0, 0.15, 2
 CALL_S = 1.5
+WANTING_S = 0.6  # a beat, and the way from the core
 MEND_S = 5.0
 REPAIR_MOST = 16  # registers fetched at once in a repair
 
 
 class Scribe:
-    """`in_force(key)` is called when something newer is held, `push()` tells all; lists of servers travel along."""
+    """`in_force(key)` is called when something newer is held, `teach()` tells who learns of it here; lists travel
+    along.
+    """
 
     def __init__(
         self, reactor: Any, boot: Boot, ways: Ways, register: Register, rng: random.Random,
-        in_force: Callable[[str | None], None], push: Callable[[], None], give_list: Callable[[], tuple[bytes, int]],
+        in_force: Callable[[str | None], None], teach: Callable[[], None], give_list: Callable[[], tuple[bytes, int]],
         take_list: Callable[[float, bytes], None],
     ) -> None:  # fmt: skip
         self.reactor, self.boot, self.ways, self.register, self.rng = reactor, boot, ways, register, rng
-        self.in_force, self.push, self.give_list, self.take_list = in_force, push, give_list, take_list
+        self.in_force, self.teach, self.give_list, self.take_list = in_force, teach, give_list, take_list
         self.send, self.started = ways.send, reactor.seconds()
         losses = boot.fault_tolerance.machine_losses
         self.seat = Seat(register.me.ip, bool(boot.data_directory), losses, boot.initial_start)
@@ -42,6 +45,7 @@
         self.disk_fault: str | None = None  #: why the disk last refused, until it takes something
         self.waiting: list[tuple[float, Deferred]] = []
         self.pulling: set[str] = set()
+        self.wanting: dict[str, float] = {}  #: registers of which there is something newer, and since when
         self.nonce = rng.getrandbits(30)
         self.core_seen = (0, self.started)
 
@@ -212,6 +216,8 @@
             self.seat.count(())
             say("register", "taken away from the core", machine=courier.host(int(entry.key.removeprefix(REMOVED))))
         self.in_force(entry.key)
+        if self.shelf is not None:
+            self.teach()
         if self.history is not None:
             self.recall(self.history.keep, self.ways.unix(), entry)
         return True
@@ -265,7 +271,6 @@
         for ip in core:
             store(ip)
         self.reactor.callLater(timeout_s, late)
-        self.push()
         return done
 
     def forget(self, ip: int, timeout_s: float) -> Deferred:
@@ -325,6 +330,19 @@
         if lacking:
             self.pull(ip, lacking)
 
+    def heard_of(self, ip: int, marks: list[Mark], now: float) -> None:
+        """Another one holds that.  What is newer is fetched from the core; from others only after a while, or where no
+        machine of the core is heard of: a thin link must not carry a large configuration to all.
+        """
+        lacking = self.word.lacks(marks)
+        if not lacking:
+            return self.wanting.clear()
+        first = min([self.wanting.setdefault(key, now) for key in lacking])
+        member = self.register.members.get(ip)
+        known = [m for m in self.register.alive(now, DISK) if m.ip != self.register.me.ip]
+        if member is not None and member.disk or not known or now - first > WANTING_S:
+            self.pull(ip, lacking)
+
     def pull(self, ip: int, keys: list[str], servers: bool = False, then: Any = None) -> None:
         """Fetch what is lacking from who has it."""
         keys = [key for key in keys if key not in self.pulling or then is not None]
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -165,6 +165,15 @@
         self.assertEqual(a.members[2].incarnation, 9)
 
 
+    def test_who_is_alone_knows_how_many_there_were(self):
+        one = Register(Member(1, 0, READY, beat=100.0), 0.5)
+        for ip in range(2, 12):
+            one.know(ip, 0, READY)
+            one.members[ip].beat = 100.0
+        self.assertEqual((one.alone(101.0), one.alone(120.0), one.alone(170.0)), (1.0, 11.0, 1.0))
+        one.tick(120.0, READY)  # 11 known, itself heard of
+        self.assertEqual(one.alone(120.0), 11.0)
+
     def test_news_is_everywhere_before_anybody_is_taken_for_lost(self):
         """Beats in turn, none lost: rows as old as can be at 11, 40 and 82 ingresses in two regions."""
         for n in (11, 40, 82):
