--- a/mapleline/cli/commands.py
+++ b/mapleline/cli/commands.py
@@ -26,10 +26,11 @@
 The global load balancer (each with --help):
   desk       the role of every machine (settings file in MAPLELINE_CONFIG)
   settings   check a settings file
-  config     check, put, read: the operator's configuration
+  config     check, put, read, history, rollback: the operator's configuration
   evacuate   ZONE begin|finish
   status     what an ingress knows
   archive    check, dump, restore: a stopped machine's folder
+  core       forget: a machine with a disk that is gone for good
   try        a small one on loopback, until Ctrl-C (or --check)
 """
 
@@ -164,6 +165,19 @@
     """Our own laboratory: stand-in parties, load, and what the ingress makes of them."""
 
 
+@lab.command("days")
+@click.option("--seeds", default=8, show_default=True, type=click.IntRange(1), help="How many days.")
+@click.option("--first", default=0, show_default=True, help="The first day's seed.")
+@click.option("--jobs", default=2, show_default=True, type=click.IntRange(1), help="Processes.")
+def lab_days(seeds: int, first: int, jobs: int) -> None:
+    """Play days of a whole small system by lot, on a clock of its own; status 1 if one breaks a rule."""
+    from ..lab.days import sweep
+
+    broken = sweep(range(first, first + seeds), jobs, click.echo)
+    click.echo(f"{seeds} days, {broken} with a rule broken")
+    raise SystemExit(1 if broken else 0)
+
+
 @lab.command("cores")
 @click.option("--workers", "workers", default="1,2,4", show_default=True, help="Numbers of workers, in turn.")
 @click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1, 600), help="Of each run.")
--- a/mapleline/lab/days.py
+++ b/mapleline/lab/days.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import json
+import logging
+import multiprocessing
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -414,3 +416,19 @@
     closing = closing or day.rng.choice(["kill", "wipe"])
     found = close(day, closing) if closing != "none" else []
     return found + judge(day.record), day
+
+
+def _found(seed: int) -> tuple[int, list[str]]:
+    logging.disable(logging.CRITICAL)
+    return seed, play(seed)[0]
+
+
+def sweep(seeds: range, jobs: int, say: Callable[[str], None]) -> int:
+    """Days by lot on so many processes; says each broken rule, and gives the number of days that broke one."""
+    broken = 0
+    with multiprocessing.Pool(jobs) as pool:
+        for seed, found in pool.imap_unordered(_found, seeds):
+            broken += bool(found)
+            for line in found:
+                say(f"seed {seed}: {line}")
+    return broken
--- a/mapleline/system/trial.py
+++ b/mapleline/system/trial.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from shutil import rmtree
 
 from expression import Result
 
@@ -193,29 +194,54 @@
         status, text = trial.ask("z1", "/book/long", id, "POST", LONG)
         return status == 200 and text.endswith("\n" + LONG.decode())
 
-    zones = list(ZONES)
-    for what, holds in (
-        ("a configuration is acknowledged", lambda: put(1)),
-        ("every ingress serves", lambda: all(served(z, "/slots/x", f"a-{z}") for z in zones)),
-        ("three megabytes go up and come back", lambda: long("long")),
-        ("a machine is killed, the next version acknowledged", lambda: trial.kill("z3") or put(2, "/free/")),
-        ("the others serve by it", lambda: all(served(z, "/free/x", f"b-{z}") for z in zones[:2])),
-        ("and no longer by the last", lambda: trial.ask("z1", "/slots/x", "c")[0] == 404),
-        ("the lost machine is back and serves by it", lambda: trial.start("z3", False) or served("z3", "/free/x", "d")),
-        ("the history has the first version, and it is put in force again", lambda: rollback(trial.control, 1).is_ok()),
-        ("every ingress serves by that", lambda: all(served(z, "/slots/x", f"r-{z}") for z in zones)),
-        ("an evacuation is acknowledged", lambda: ask(trial.control, "POST", "/evacuations/z2/begin").is_ok()),
-        ("the zone's servers get nothing", elsewhere),
-        ("a booking runs once", lambda: served("z1", "/book/7", "once") and
-            sum(s.seen.count("once") for s in trial.servers.values()) == 1),
-    ):  # fmt: skip
-        once = [False]
+    def formed(zone: str) -> bool:
+        said = ask(f"{trial.places[zone]}:{CONTROL}", "GET", "/status")
+        return said.is_ok() and json.loads(said.ok)["formed"]
+
+    def again(zone: str, spoil: Callable[[Path], object]) -> None:
+        """Killed, its folder spoilt, started."""
+        trial.kill(zone)
+        spoil(trial.folder / zone / "word")
+        trial.start(zone, False)
+
+    def all_again() -> None:
+        for zone in zones:
+            trial.kill(zone)
+        for zone in zones:
+            trial.start(zone, False)
 
-        def holds_once(holds: Callable[[], bool] = holds, once: list[bool] = once) -> bool:
-            once[0] = once[0] or holds()
-            return once[0]
+    def tear(word: Path) -> None:
+        os.truncate(next(word.glob("r-*")), 40)
 
-        fault = step(what, holds_once)
+    def evacuated() -> bool:
+        return ask(trial.control, "POST", "/evacuations/z2/begin").is_ok()
+
+    def runs() -> int:
+        return sum(server.seen.count("once") for server in trial.servers.values())
+
+    zones = list(ZONES)
+    for what, act, holds in (
+        ("a configuration is acknowledged", None, lambda: put(1)),
+        ("every ingress serves", None, lambda: all(served(z, "/slots/x", f"a-{z}") for z in zones)),
+        ("three megabytes go up and come back", None, lambda: long("long")),
+        ("a machine is killed, the next version acknowledged", lambda: trial.kill("z3"), lambda: put(2, "/free/")),
+        ("the others serve by it", None, lambda: all(served(z, "/free/x", f"b-{z}") for z in zones[:2])),
+        ("and no longer by the last", None, lambda: trial.ask("z1", "/slots/x", "c")[0] == 404),
+        ("the lost machine is back and serves by it", lambda: trial.start("z3", False),
+            lambda: served("z3", "/free/x", "d")),
+        ("the first version is put in force again", None, lambda: rollback(trial.control, 1).is_ok()),
+        ("every ingress serves by that", None, lambda: all(served(z, "/slots/x", f"r-{z}") for z in zones)),
+        ("a disk is lost, and joins the core again", lambda: again("z2", rmtree), lambda: formed("z2")),
+        ("a torn file is not believed, and mended", lambda: again("z3", tear), lambda: formed("z3")),
+        ("all are killed at once, and serve by the last word", all_again,
+            lambda: all(served(z, "/slots/x", f"s-{z}") for z in zones)),
+        ("an evacuation is acknowledged", None, evacuated),
+        ("the zone's servers get nothing", None, elsewhere),
+        ("a booking runs once", None, lambda: served("z1", "/book/7", "once") and runs() == 1),
+    ):  # fmt: skip
+        if act is not None:
+            act()
+        fault = step(what, holds)
         if fault is not None:
             return fault
     return None
