Hold and go on with reading in one place, for connections of both programs

Cause: reading the change again: the system's doors and links had each written again what net/clients and net/upstream do. Change: Stream.hold and Stream.go_on; behaviour as before. Seen: system tests, test_ingress, test_relay, test_bodies, test_http1 (153 passed).

--- a/mapleline/net/clients.py
+++ b/mapleline/net/clients.py
@@ -51,7 +51,6 @@
         self.asked = False  #: a whole request has come
         self.since = front.reactor.seconds()  #: of the last change of what it waits for
         self.heard = self.since  #: when it last sent anything
-        self.reading = True
         self.upload: Upload | None = None  #: takes the rest of the request in hand
         self.source: Any = None  #: gives the rest of the answer in hand
         self.reserved = 0  #: bytes of the pool's bound that the request in hand takes
@@ -72,7 +71,7 @@
             # 60 MB more to send is not waited for.
             self.discarded += len(data)
             if self.discarded > self.discards:
-                self._pause()
+                self.hold()
             return
         if self.asked and not machine.partial:
             self.front.touch(self)  # who has not asked yet has its time from connecting
@@ -81,20 +80,14 @@
             if machine.full:
                 # A client that writes on and on, behind a request in hand or an answer that it does not take,
                 # must not fill memory.
-                self._pause()
+                self.hold()
             return
         self._next()
 
-    def _pause(self) -> None:
-        if self.reading:
-            self.reading = False
-            self.transport.pauseProducing()
-
     def _read_on(self) -> None:
-        if not self.reading and self.connected:
-            self.reading = True
+        if not self.reading:
             self.heard = self.front.reactor.seconds()
-            self.transport.resumeProducing()
+            self.go_on()
 
     def _more(self, data: bytes) -> None:
         """More of a body that goes on as it comes."""
@@ -108,7 +101,7 @@
         if machine.passing:
             upload.put(part, False)
             if not upload.room:
-                self._pause()
+                self.hold()
             return
         self.upload = None
         upload.put(part, True)
@@ -163,7 +156,7 @@
         self.recent += 1
         if request.more:
             self.upload = wish.upload = Upload(request.length, self._read_on, self._spent)
-            self._pause()  # until an attempt takes what there is
+            self.hold()  # until an attempt takes what there is
         if len(request.body) > MOST_WHOLE:
             self.reserved = 2 * len(request.body)  # held to be sent again, and once more on its way out
             self.front.pool.held += self.reserved
--- a/mapleline/net/streams.py
+++ b/mapleline/net/streams.py
@@ -23,6 +23,7 @@
 
     up: Deferred | None = None  #: fires once it is connected; see `dial`
     flushed = True  #: the kernel has taken every byte sent
+    reading = True  #: bytes that come are taken
     _registering = False
 
     def connectionMade(self) -> None:
@@ -49,6 +50,18 @@
         else:
             self.transport.write(data)
 
+    def hold(self) -> None:
+        """Read nothing more for now."""
+        if self.reading and self.connected:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def go_on(self) -> None:
+        """Read on."""
+        if not self.reading and self.connected:
+            self.reading = True
+            self.transport.resumeProducing()
+
     @property
     def unread(self) -> bool:
         """Something has come that the reactor has not told of yet: bytes, an end or a fault."""
--- a/mapleline/net/upstream.py
+++ b/mapleline/net/upstream.py
@@ -46,7 +46,6 @@
         self.upload: Upload | None = None  #: the rest of the request
         self.sink: Any = None  #: takes the answer that is being passed on
         self.heard = 0.0  #: when the last part of it came, or could be taken
-        self.reading = True
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         self.attempt = attempt
@@ -126,15 +125,11 @@
 
     def pause(self) -> None:
         """Whoever takes the answer has enough for now."""
-        if self.reading and self.connected:
-            self.reading = False
-            self.transport.pauseProducing()
+        self.hold()
 
     def resume(self) -> None:
         self.heard = self.server.pool.reactor.seconds()
-        if not self.reading and self.connected:
-            self.reading = True
-            self.transport.resumeProducing()
+        self.go_on()
 
     def dataReceived(self, data: bytes) -> None:
         if self.sink is not None:
--- a/mapleline/system/doors.py
+++ b/mapleline/system/doors.py
@@ -33,7 +33,7 @@
         self.in_hand: Any = None  #: what `take` made of the request
         self.upload: Upload | None = None  #: takes the rest of the request in hand
         self.source: Any = None  #: gives the rest of the answer in hand
-        self.reading, self.behind = True, False  # behind: bytes that nobody wants follow the request in hand
+        self.behind = False  #: bytes that nobody wants follow the request in hand
         self.reserved = 0  #: bytes of the pool's bound that the request in hand takes
 
     def connectionMade(self) -> None:
@@ -60,22 +60,12 @@
             self.upload = None
         upload.put(part, self.upload is None)
         if self.upload is not None and not upload.room:
-            self._pause()
-
-    def _pause(self) -> None:
-        if self.reading and self.connected:
-            self.reading = False
-            self.transport.pauseProducing()
-
-    def _read_on(self) -> None:
-        if not self.reading and self.connected:
-            self.reading = True
-            self.transport.resumeProducing()
+            self.hold()
 
     def _close(self, unread: bool) -> None:
         if unread:  # closing with bytes unread resets, and the client may never see why
             self.transport.loseWriteConnection()
-            self._read_on()
+            self.go_on()
         else:
             self.transport.loseConnection()
 
@@ -90,8 +80,8 @@
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             if request.more:
-                self.upload = Upload(request.length, self._read_on, partial(self._spent, request))
-                self._pause()  # until a server takes what there is
+                self.upload = Upload(request.length, self.go_on, partial(self._spent, request))
+                self.hold()  # until a server takes what there is
             self._reserve(2 * len(request.body))  # held to be sent again, and once more on its way out
             self.in_hand = self.house.take(self, request)
 
--- a/mapleline/system/servers.py
+++ b/mapleline/system/servers.py
@@ -83,7 +83,6 @@
         self.attempt: Attempt | None = None
         self.sink: Any = None  #: takes the answer that is being passed on
         self.begun: Response | None = None  #: the head of that answer
-        self.reading = True
         self.keep_until = self.idle_since = 0.0
 
     def connectionMade(self) -> None:
@@ -160,14 +159,10 @@
 
     def pause(self) -> None:
         """Whoever takes the answer has enough for now."""
-        if self.reading and self.connected:
-            self.reading = False
-            self.transport.pauseProducing()
+        self.hold()
 
     def resume(self) -> None:
-        if not self.reading and self.connected:
-            self.reading = True
-            self.transport.resumeProducing()
+        self.go_on()
 
     def _rest(self, response: Response) -> None:
         said = response.headers.get(b"keep-alive", b"")
