Judge what a stalled ingress may answer by what was on its record, not by when it was sent

Change: who takes over says which ids were on record; an answer to one of those is the breach, whenever it was sent.

--- a/mapleline/faults/checker.py
+++ b/mapleline/faults/checker.py
@@ -21,8 +21,8 @@
   outcome is unknown of a request that might have been repeated.
 - `charged`: what the counter was told to add for customers sums to no more than a unit for each request
   that ran, was answered by other than a refusal, or whose client had to come again.
-- `fenced`: once another has begun to take over an ingress's log, that ingress answers nothing it was sent
-  before its fault began (what came later lay unread, and is new to it when it wakes).
+- `fenced`: once another has begun to take over an ingress's log, that ingress answers nothing that is on record there,
+  unless it is sent to it again (what was not on record lay unread, and is new to it when it wakes).
 - `fall`: no agenda server fell over.
 - `zones` (where `zones.enabled`): a zone that no ingress reaches (a cutting fault of `*>zone-Z`, or its
   process killed) is left by every ingress without a fault of its own within `Zones.bound_s`, by all
@@ -263,22 +263,21 @@
 
 
 def _fenced(events: dict[str, list[dict[str, Any]]]) -> list[Violation]:
-    begun = {}  # by ingress, when another began to take its work, and when the fault behind that began
-    spans = _spans(events)
+    begun = {}  # by ingress and id on its record, when another began to take that over
     for name, lines in events.items():
         for event in lines if name.startswith("ingress-") else ():
             owner = event.get("log", "").rpartition(".")[0]
             if event["event"] == "taking over" and owner != name:
-                faults = [a for where, _, a, b in spans if where == owner and a <= event["at"] <= b]
-                begun.setdefault(owner, (event["at"], min(faults, default=event["at"])))
+                for id in event.get("ids", ()):
+                    begun.setdefault((owner, id), event["at"])
     found, asked = [], {}
     for event in events.get("load", []):
         if event["event"] in ("sent", "sent again"):
             asked[event["id"]] = event
         elif event["event"] == "answer" and event["id"] in asked:
             where, last = event.get("ingress"), asked[event["id"]]
-            taken, stopped = begun.get(where, (float("inf"), 0.0))
-            if last["at"] < stopped <= taken < event["at"] and last.get("ingress") == where:
+            taken = begun.get((where, event["id"]), float("inf"))
+            if last["at"] <= taken < event["at"] and last.get("ingress") == where:
                 what = f"answered {event['id']} after another had taken it over"
                 found.append(Violation("fenced", event["at"], where, what))
     return found
--- a/mapleline/net/handoff.py
+++ b/mapleline/net/handoff.py
@@ -299,7 +299,7 @@
             COUNTS["handoff.unknown"] += doubted
             log("foreign log", log=name, fault=str(fault), unknown=doubted)
             return self._note({"op": "e", "log": name})
-        log("taking over", log=name, by=self.log_name, open=len(book.entries))
+        log("taking over", log=name, by=self.log_name, open=len(book.entries), ids=sorted(book.entries))
         COUNTS["handoff.taken_logs"] += 1
         self.work += [(name, entry) for entry in book.entries.values()]
         self.work.append((name, None))
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -308,22 +308,23 @@
     def answer(rid, status, **more):
         return {"at": 3, "event": "answer", "id": rid, "status": status, "ingress": "ingress-0", **more}
 
-    kinds = {"b": "book", "p": "pay", "l": "look", "n": "book", "r": "book", "u": "look"}
-    runs = [{"at": 2, "event": "run", "id": rid, "in_work": 1} for rid in "bbppllr"]
+    kinds = {"b": "book", "p": "pay", "l": "look", "n": "book", "r": "book", "u": "look", "v": "book"}
+    runs = [{"at": 2, "event": "run", "id": rid, "in_work": 1} for rid in "bbppllrv"]
     logs = {
         "load": [{"at": 1, "event": "sent", "id": rid, "ingress": "ingress-0", "cls": cls, "timeout_ms": 9000}
                  for rid, cls in kinds.items()]
         + [answer("b", 200), answer("p", 200), answer("l", 200), answer("n", 200), answer("r", 503),
-           answer("u", 502, unknown=True)],
+           answer("u", 502, unknown=True), answer("v", 200)],
         "zone-a": runs,
-        "ingress-1": [{"at": 2.5, "event": "taking over", "log": "ingress-0.1", "by": "ingress-1.1"}],
-        "counter": [{"at": 2, "event": "add", "name": "0123456789abcdef", "amount": 7.0},
+        "ingress-1": [{"at": 2.5, "event": "taking over", "log": "ingress-0.1", "by": "ingress-1.1",
+                       "ids": list("bplnru")}],  # v lay unread: it is not on record
+        "counter": [{"at": 2, "event": "add", "name": "0123456789abcdef", "amount": 8.0},
                     {"at": 2, "event": "add", "name": "hb.f.1", "amount": 99.0}],
     }  # fmt: skip
     found = [str(v).partition(": ")[2] for v in checker.judge(logs)]
     fenced = [one for one in found if "taken it over" in one]
     assert len(fenced) == 6 and sorted(set(found) - set(fenced)) == [
-        "7 units charged for 6 requests", "request b (book) ran 2 times",
+        "8 units charged for 7 requests", "request b (book) ran 2 times",
         "request n answered 200 without having run",
         "request p (pay) ran 2 times", "request r (book) refused though it ran",
         "request u may be repeated, and its outcome is unknown",
