Keep the list with the core, and let the next in line ask where it hears nothing

Cause, seen in the laboratory: at the first start each ingress voted for itself before it knew the core, and the highest address won: a machine without a disk asked the platform for good. Change: nobody claims before a machine of the core is known; a holder that is not the next by lot hands on; who is next by its own register asks as well, and the next but one after 1.4 s without news.

--- a/mapleline/system/node.py
+++ b/mapleline/system/node.py
@@ -35,6 +35,8 @@
 
 BEAT_S, FAR_BEATS = 0.5, 2  # seconds; and which beat goes to another region as well
 BUSY_S = 0.05
+SECOND_S = 1.4  # without news of the list: the next in line asks as well, for the holder may be cut off from it
+UNKNOWN_S = 5.0  # after which there is no core, if none was heard of
 HELD_PART = (1 << 20) // 5  # of the memory, for bodies; beyond, they go on as they come
 SWEEP_S = 0.5
 LEASE_MARGIN_S = 0.3
@@ -287,11 +289,15 @@
             return
         able = self._able(now)
         next_one = first(able) == self.register.me.ip
-        if next_one and self._listless(now):
+        known = self.register.core() or now - self.started > UNKNOWN_S
+        if next_one and known and self._listless(now):
             self._claim()
+        elif self.custody.mine and not next_one:
+            self.custody.hand_on(first(able))  # the core first: all fetch the list from its holder
         age = now - self.catalogue.fetched
         alone = age > STALE_S and now - self.started > 2 * FIRST_S and self.rng.random() < 2 / (1 + len(able))
-        asks = self.custody.mine or next_one or alone
+        second = age > SECOND_S and first(m for m in able if m.ip != self.custody.holder) == self.register.me.ip
+        asks = self.custody.mine or next_one or second or alone
         if asks and now - self.started > FIRST_S / 2:
             self.platform.fetch()
 
--- a/tests/system/test_days.py
+++ b/tests/system/test_days.py
@@ -163,6 +163,21 @@
         first = {m: min(t for t, n, _, v in day.record.versions if n == m and v >= version) for m in day.world.machines}
         self.assertLess(max(first.values()) - 1008.0, 0.4)
 
+    def test_the_list_is_fresh_everywhere_though_its_holder_is_cut_off_from_the_core(self):
+        def troubles(day):
+            world = day.world
+            holder = next(m for m in world.machines.values() if m.node.custody.mine)
+            holders.append(holder)
+            day.cut([holder], world.core, 5.0)
+            day.look = lambda: (ages.extend(world.now - m.node.catalogue.fetched for m in world.machines.values()
+                                            if m is not holder), world.after(0.1, day.look))  # fmt: skip
+            day.look()
+
+        ages, holders = [], []
+        self.holds(troubles, 6.0, load=0.3)
+        self.assertIsNotNone(holders[0].disk)
+        self.assertLess(max(ages), 2.6)  # and a way to all: under `drain_timeout`
+
     def test_cold_and_emptied_servers(self):
         self.breaks("FAILBACK", cold_zone, mock.patch.object(Desk, "is_cold", lambda *_: False), 4.0, load=2.0)
         self.breaks("EVAC", emptied, mock.patch.object(Word, "evacuated", lambda self: set()), 9.0)
