--- a/tests/system/test_days.py
+++ b/tests/system/test_days.py
@@ -130,7 +130,7 @@
             world.after(3.0, day.operator.forget, gone)
             world.after(5.0, day.kill, [second], 4.0)
             world.after(6.0, lambda: seen.extend(m.node.scribe.seat.core() for m in world.machines.values() if m.up))
-            world.after(6.0, day.operator.config)
+            world.after(6.0, day.operator.config, None, world.core[2])
 
         seen = []
         day = self.holds(troubles, 8.0)
