Log what consultations of quotas came to, changed limits and suspected counter replicas

Change: a line a tenant each 5 s where it was limited; fields of 'configuration in force'; a line for each suspicion. The simulation's operators can change quotas and add or remove tenants. No decision is changed.

--- a/mapleline/balancer/configuration_applier.py
+++ b/mapleline/balancer/configuration_applier.py
@@ -17,6 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Tenants with changed limits that one line names at most.
+MAX_TENANTS_NAMED = 5
+
 
 class ConfigurationApplier:
     """Applies configuration and evacuations of the committed state."""
@@ -52,9 +55,19 @@
         except ConfigurationError as error:
             logger.info("committed configuration cannot be read", extra={"error": str(error)})
             return False
+        in_force = self._proxy.table
         self._proxy.table = table
         self._set_listener_limits(table)
-        logger.info("configuration in force", extra={"version": table.version})
+        changed_limits = _tenants_with_other_limits(in_force, table) if in_force is not None else []
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": table.version,
+                "tenants": len(table.tenants),
+                "limits_changed": len(changed_limits),
+                "limits_changed_of": changed_limits[:MAX_TENANTS_NAMED],
+            },
+        )
         return True
 
     def _set_listener_limits(self, table: RoutingTable) -> None:
@@ -63,3 +76,13 @@
         self._front.header_timeout_s = limits.header_timeout
         self._front.max_header_bytes = limits.max_header_bytes
         self._front.max_body_bytes = limits.max_body_bytes
+
+
+def _tenants_with_other_limits(before: RoutingTable, after: RoutingTable) -> list[str]:
+    """Return the tenants that both have, with another rate or burst."""
+    return [
+        name
+        for name, tenant in after.tenants.items()
+        if (former := before.tenants.get(name)) is not None
+        and (former.rate_per_s, former.burst_size) != (tenant.rate_per_s, tenant.burst_size)
+    ]
--- a/mapleline/balancer/housekeeping.py
+++ b/mapleline/balancer/housekeeping.py
@@ -1,4 +1,4 @@
-"""Periodic upkeep of one node: idle connections, the settings file, and a log of messages that were refused."""
+"""Periodic upkeep of one node: idle connections, the settings file, and logs of tenants and of refused messages."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
     from .proxy.listener import Listener
     from .proxy.proxy import Proxy
     from .proxy.upstream_pool import UpstreamPool
+    from .quota.consultation_log import ConsultationLog
     from .transport.fencing import Fence
 
 logger = logging.getLogger(__name__)
@@ -33,6 +34,7 @@
         proxy: Proxy,
         upstream_pool: UpstreamPool,
         fence: Fence,
+        consultation_log: ConsultationLog,
         reload_settings: Callable[[], None],
     ) -> None:
         """`reload_settings` takes over what has changed in the settings file."""
@@ -41,6 +43,7 @@
         self._proxy = proxy
         self._upstream_pool = upstream_pool
         self._fence = fence
+        self._consultation_log = consultation_log
         self._reload_settings = reload_settings
 
     def run(self) -> None:
@@ -53,6 +56,7 @@
             list(self._proxy.targets.values()), now, self._max_idle_connections()
         )
         self._reload_settings()
+        self._consultation_log.log_if_due(now)
         refused = self._fence.new_drops()
         if refused:
             logger.info("messages refused", extra=refused)
--- a/mapleline/balancer/node.py
+++ b/mapleline/balancer/node.py
@@ -158,7 +158,13 @@
         self.load_reporter = LoadReporter(context, self.topology, self.proxy, self.fence)
         self.poller = EndpointPoller(context, self.endpoints, self.leadership, self.electorate, self.platform.fetch)
         self.housekeeping = Housekeeping(
-            context, self.listeners, self.proxy, self.upstream_pool, self.fence, self.reload_seed_nodes
+            context,
+            self.listeners,
+            self.proxy,
+            self.upstream_pool,
+            self.fence,
+            self.quota_client.log,
+            self.reload_seed_nodes,
         )
         self.shutdown = GracefulShutdown(
             context, self.listeners, self.proxy, self.control_plane, self.poller, self.heartbeats
--- a/mapleline/balancer/quota/client.py
+++ b/mapleline/balancer/quota/client.py
@@ -13,6 +13,7 @@
 
 from ...policy.window import WindowUsage
 from ..transport.messages import CounterIncrement, CounterSync, CounterValue
+from .consultation_log import ConsultationLog, ConsultationOutcome
 from .placement import Distance, ReplicaPlacement
 from .replica import CounterReplica
 
@@ -67,6 +68,7 @@
     Attributes:
         pending: Consultations without an answer, by nonce.
         nonce: The nonce of the last consultation.
+        log: What the consultations came to.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.replica = CounterReplica(clock, membership, self.placement, environment.send)
         self.pending: dict[int, PendingConsultation] = {}
         self.nonce = int(self._unix_time() * MS_PER_S) & FIRST_NONCE_MASK
+        self.log = ConsultationLog()
         self.replica.start()
 
     def consult(self, ask: Ask) -> None:
@@ -164,6 +167,7 @@
             if timer.active():
                 timer.cancel()
         is_let_in = consultation.ask.done(usage)
+        self._log_outcome(consultation, usage, is_let_in)
         counting = {answered_by} if is_let_in else set()
         if consultation.asked <= counting:
             return
@@ -173,3 +177,9 @@
                 self.replica.revert(ip, revert)
             else:
                 self.send(ip, revert)
+
+    def _log_outcome(self, consultation: PendingConsultation, usage: WindowUsage | None, is_let_in: bool) -> None:
+        outcome = ConsultationOutcome.ADMITTED if is_let_in else ConsultationOutcome.REJECTED
+        if usage is None:
+            outcome = ConsultationOutcome.UNANSWERED
+        self.log.record(consultation.ask.tenancy, consultation.increment.window, consultation.asked, outcome)
--- a/mapleline/balancer/quota/placement.py
+++ b/mapleline/balancer/quota/placement.py
@@ -6,17 +6,21 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 from zlib import crc32
 
 from ..membership.table import MembershipTable
+from ..transport.addresses import ip_from_int
 
 if TYPE_CHECKING:
     from ..clock import Clock
     from ..settings import Settings
 
+logger = logging.getLogger(__name__)
+
 #: Tenants of a shard: what its replicas tell each other fits one datagram.
 TENANTS_PER_SHARD = 16
 
@@ -82,8 +86,12 @@
     def record_miss(self, ip: int) -> None:
         """A consultation of that replica got no answer in time."""
         self._misses[ip] = self._misses.get(ip, 0) + 1
-        if self._misses[ip] >= MAX_MISSES:
-            self._suspect_until[ip] = self.clock.seconds() + SUSPECT_S
+        if self._misses[ip] < MAX_MISSES:
+            return
+        now = self.clock.seconds()
+        if not self.is_suspect(ip, now):
+            logger.info("counter replica suspected", extra={"replica": ip_from_int(ip), "misses": self._misses[ip]})
+        self._suspect_until[ip] = now + SUSPECT_S
 
     def record_answer(self, ip: int) -> None:
         """It has answered a consultation."""
--- a/mapleline/simulation/operators.py
+++ b/mapleline/simulation/operators.py
@@ -18,7 +18,15 @@
 )
 from .machine import Machine, configuration_digest
 from .operator_client import CommandDelivery, OperatorClient
-from .workload import InvalidVariant, all_api_keys, configuration, content_digest, invalid_configuration
+from .workload import (
+    QUOTAS,
+    InvalidVariant,
+    Quota,
+    all_api_keys,
+    configuration,
+    content_digest,
+    invalid_configuration,
+)
 from .world import World
 
 MAX_OPEN_COMMANDS = 8
@@ -44,6 +52,7 @@
         self._serial = 0
         self._body_by_content: dict[str, bytes] = {}
         self._keys = all_api_keys()
+        self._quotas = dict(QUOTAS)
         self._revoked_by_content: dict[str, set[str]] = {}
         self._acknowledgement_callbacks: list[Callable[[], None]] = []
         self.version = 0
@@ -102,7 +111,7 @@
     def _compose(self, version: int) -> bytes:
         """Return a configuration that no other is equal to."""
         self._serial += 1
-        body = json.dumps(configuration(version, self._keys, self._serial)).encode()
+        body = json.dumps(configuration(version, self._keys, self._serial, self._quotas)).encode()
         content = content_digest(body)
         self._body_by_content[content] = body
         self.content_by_configuration[configuration_digest(parse_configuration(body))] = content
@@ -131,6 +140,24 @@
         body = self._compose(self.version)
         return self._send_configuration(self.version, body, at)
 
+    def change_quotas(self, quotas: dict[str, Quota], at: Machine | None = None) -> OperatorCommand:
+        """Send a new version with other quotas for these tenants, who are added if need be.
+
+        The highest rate and burst that a tenant ever had are what it may use.
+        """
+        self._quotas.update(quotas)
+        limits = self._history.limits
+        for tenant, quota in quotas.items():
+            rate_s, burst = limits.get(tenant, (0.0, 0.0))
+            limits[tenant] = (max(rate_s, quota.rate_s), max(burst, quota.burst))
+        return self.replace_configuration(at=at)
+
+    def remove_tenants(self, tenants: set[str], at: Machine | None = None) -> OperatorCommand:
+        """Send a new version without these tenants."""
+        for tenant in tenants:
+            del self._quotas[tenant]
+        return self.replace_configuration(at=at)
+
     def replace_at_two_machines(self) -> None:
         """Send two new versions at the same moment, by way of two machines."""
         running = [machine for machine in self._world.machines.values() if machine.is_running]
--- a/mapleline/simulation/workload.py
+++ b/mapleline/simulation/workload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -67,13 +68,20 @@
     return f"{crc32(body):08x}"
 
 
-def configuration(version: int, keys: dict[str, list[str]], serial: int = 0) -> dict[str, Any]:
-    """Return a complete configuration; `serial` tells it from others of the same version."""
+def configuration(
+    version: int, keys: dict[str, list[str]], serial: int = 0, quotas: Mapping[str, Quota] = QUOTAS
+) -> dict[str, Any]:
+    """Return a complete configuration; `serial` tells it from others of the same version.
+
+    A tenant of `quotas` without keys in `keys` gets its usual ones.
+    """
     return {
         "config_version": version,
         "route_table": {name: _route_row(name, route) for name, route in ROUTES.items()},
         "service_table": {route.service: _service_row() for route in ROUTES.values()},
-        "tenant_table": {tenant: _tenant_row(quota, keys[tenant]) for tenant, quota in QUOTAS.items()},
+        "tenant_table": {
+            tenant: _tenant_row(quota, keys.get(tenant) or api_keys(tenant)) for tenant, quota in quotas.items()
+        },
         "limits": {"idle_timeout": f"{BASE_IDLE_TIMEOUT_MS + serial}ms"},
     }
 
