--- /dev/null
+++ b/tests/simulation/test_quota_scenarios.py
@@ -0,0 +1,123 @@
+"""QUOTA while what names and places a tenant's counters changes: limits, clocks, shards, replicas."""
+
+import logging
+import unittest
+
+from mapleline.simulation.final_fault import FinalFault
+from mapleline.simulation.runner import RunOptions, run_scenario
+from mapleline.simulation.workload import Quota
+from tests.known_red import known_red
+
+SEEDS = (3, 4)
+HOT_TENANT = "t1"
+HOT_LOAD_FACTOR = 8.0
+LOAD = 3.0
+DURATION_S = 14.0
+RATE_S = 20.0
+
+
+def overload(scenario):
+    """Let one tenant send many times what its quota gives."""
+    scenario.clients.load_factors[HOT_TENANT] = HOT_LOAD_FACTOR
+
+
+def lower_the_rate_a_little(scenario, period_s, burst, step_s=0.25):
+    """Lower the tenant's rate again and again, each time to one that it never had."""
+    changes = int(DURATION_S / period_s)
+    for number in range(changes):
+        quota = Quota(RATE_S - step_s * number, burst)
+        scenario.world.after(number * period_s, scenario.operators.change_quotas, {HOT_TENANT: quota})
+
+
+def often_changed_limit(scenario):
+    overload(scenario)
+    lower_the_rate_a_little(scenario, 0.8, burst=20.0)
+
+
+def seldom_changed_limit(scenario):
+    overload(scenario)
+    lower_the_rate_a_little(scenario, 4.0, burst=20.0)
+
+
+def limit_with_little_burst(scenario):
+    overload(scenario)
+    lower_the_rate_a_little(scenario, 0.8, burst=8.0)
+
+
+def limit_to_and_fro(scenario):
+    """Change between two limits, so that nodes hold either for some time."""
+    overload(scenario)
+    for number in range(int(DURATION_S / 0.5)):
+        quota = Quota(RATE_S - number % 2, 20.0)
+        scenario.world.after(number * 0.5, scenario.operators.change_quotas, {HOT_TENANT: quota})
+
+
+def diskless_machines(scenario):
+    return [machine for machine in scenario.world.machines.values() if machine.disk is None]
+
+
+def restart_with_clock_off(scenario, machine, by_s):
+    scenario.faults.step_clock(machine, by_s)
+    scenario.faults.kill([machine], 0.3)
+
+
+def clock_ahead(scenario):
+    overload(scenario)
+    restart_with_clock_off(scenario, diskless_machines(scenario)[0], 30.0)
+
+
+def clock_behind(scenario):
+    overload(scenario)
+    restart_with_clock_off(scenario, diskless_machines(scenario)[0], -30.0)
+
+
+def every_clock_differs(scenario):
+    overload(scenario)
+    for number, machine in enumerate(diskless_machines(scenario)):
+        restart_with_clock_off(scenario, machine, 3.0 * number)
+
+
+def added_and_removed_tenants(scenario):
+    """Change the number of tenants, and of what their counters are divided into."""
+    overload(scenario)
+    few = {f"few{number}": Quota(5.0, 5.0) for number in range(60)}
+    more = {f"more{number}": Quota(5.0, 5.0) for number in range(16)}
+    scenario.operators.change_quotas(few)
+    for number in range(4):
+        scenario.world.after(1.0 + 3.0 * number, scenario.operators.change_quotas, more)
+        scenario.world.after(2.5 + 3.0 * number, scenario.operators.remove_tenants, set(more))
+
+
+def restarted_replicas(scenario):
+    """Restart the machines that hold counters, one after the other."""
+    overload(scenario)
+    machines = diskless_machines(scenario)
+    for number in range(int(DURATION_S)):
+        scenario.world.after(float(number), scenario.faults.kill, [machines[number % len(machines)]], 0.5)
+
+
+class TestQuotaScenarios(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def holds(self, schedule):
+        for seed in SEEDS:
+            result = run_scenario(seed, schedule, RunOptions(DURATION_S, FinalFault.NONE, LOAD))
+            self.assertEqual(result.violations, [], f"{schedule.__name__}, seed {seed}")
+
+    @known_red
+    def test_a_changed_limit_renews_no_count(self):
+        for schedule in (often_changed_limit, seldom_changed_limit, limit_with_little_burst, limit_to_and_fro):
+            self.holds(schedule)
+
+    @known_red
+    def test_a_clock_that_is_off_renews_no_count(self):
+        for schedule in (clock_ahead, clock_behind, every_clock_differs):
+            self.holds(schedule)
+
+    def test_tenants_that_are_added_and_removed_renew_no_count(self):
+        self.holds(added_and_removed_tenants)
+
+    def test_restarted_replicas_renew_no_count(self):
+        self.holds(restarted_replicas)
