Place quota counters by tenant and membership alone; assume a full past where it is unknown

Cause: who holds a tenant's counters hung on the number of tenants and the home regions in force at each node and on each node's own suspicions, and a node that was asked anew, after a restart or in another's place, took what it did not know for nothing: a fresh burst. Change: 1,024 shards whatever the configuration; homes by the replica's own configuration, and the former ones for as long as counts are kept; a node that is asked though it is no replica shares with all that the shard prefers. A replica that was not there all the time asks for the past, holds its first answers for 50 ms, and where nobody knows assumes that the limit was used evenly. The members are looked at each 50 ms, not for each request. Tests: the comparison of replicas passes over nodes that only stood in for one.

--- a/mapleline/balancer/configuration_applier.py
+++ b/mapleline/balancer/configuration_applier.py
@@ -9,6 +9,8 @@
 from .routing_table import RoutingTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .control.control_plane import ControlPlane
     from .control.state import State
     from .proxy.listener import Listener
@@ -24,12 +26,28 @@
 class ConfigurationApplier:
     """Applies configuration and evacuations of the committed state."""
 
-    def __init__(self, control_plane: ControlPlane, fence: Fence, proxy: Proxy, front: Listener) -> None:
-        """`front` is the clients' listener, whose limits are part of the configuration."""
+    def __init__(
+        self,
+        control_plane: ControlPlane,
+        fence: Fence,
+        proxy: Proxy,
+        front: Listener,
+        on_home_regions_changed: Callable[[str, list[str]], None],
+    ) -> None:
+        """Apply nothing yet.
+
+        Args:
+            control_plane: has the committed state.
+            fence: is told the system's identity.
+            proxy: serves by the configuration.
+            front: the clients' listener, whose limits are part of the configuration.
+            on_home_regions_changed: called for each tenant whose home regions change, with the former ones.
+        """
         self._control_plane = control_plane
         self._fence = fence
         self._proxy = proxy
         self._front = front
+        self._on_home_regions_changed = on_home_regions_changed
 
     def apply(self, before: State | None) -> None:
         """Put the committed state in force; `before` is the one that it replaces."""
@@ -58,6 +76,7 @@
         in_force = self._proxy.table
         self._proxy.table = table
         self._set_listener_limits(table)
+        self._report_home_regions(in_force, table)
         changed_limits = _tenants_with_other_limits(in_force, table) if in_force is not None else []
         logger.info(
             "configuration in force",
@@ -70,6 +89,14 @@
         )
         return True
 
+    def _report_home_regions(self, before: RoutingTable | None, after: RoutingTable) -> None:
+        if before is None:
+            return
+        for name, tenant in after.tenants.items():
+            former = before.tenants.get(name)
+            if former is not None and former.home_regions != tenant.home_regions:
+                self._on_home_regions_changed(name, former.home_regions)
+
     def _set_listener_limits(self, table: RoutingTable) -> None:
         limits = table.limits
         self._front.idle_timeout_s = limits.idle_timeout
--- a/mapleline/balancer/node.py
+++ b/mapleline/balancer/node.py
@@ -92,7 +92,7 @@
         self.upstream_pool = environment.upstream_pool(body_pool)
         self.control_plane = self._make_control_plane()
         self.electorate = Electorate(self.control_plane.committed.voter_ips, self.membership)
-        self.quota_client = QuotaClient(reactor, settings, environment, self.membership, self._tenant_count)
+        self.quota_client = QuotaClient(reactor, settings, environment, self.membership, self._home_regions)
         self.proxy = self._make_proxy()
         self.slow_start_leases = self._make_slow_start_leases()
         self.proxy.slow_start.leases = self.slow_start_leases
@@ -100,7 +100,13 @@
         self.listeners = [self.front]
         self.control = ControlApi(self.control_plane, self.status)
         self.directory = Directory(reactor, settings, self.membership, self.context.rng, self.has_read_lease)
-        self.applier = ConfigurationApplier(self.control_plane, self.fence, self.proxy, self.front)
+        self.applier = ConfigurationApplier(
+            self.control_plane,
+            self.fence,
+            self.proxy,
+            self.front,
+            self.quota_client.replica.on_home_regions_changed,
+        )
         self.platform = environment.platform_client(self.endpoints, self._on_endpoints_fetched)
         self._make_drivers()
 
@@ -283,8 +289,10 @@
             "counts": self.proxy.counters,
         }
 
-    def _tenant_count(self) -> int:
-        return len(self.proxy.table.tenants) if self.proxy.table is not None else 0
+    def _home_regions(self, tenant: str) -> list[str] | None:
+        """Return a tenant's home regions by the configuration in force; None if that has no such tenant."""
+        known = self.proxy.table.tenants.get(tenant) if self.proxy.table is not None else None
+        return known.home_regions if known is not None else None
 
     # -- callbacks of the parts ----------------------------------------------------------------------------
 
--- a/mapleline/balancer/quota/client.py
+++ b/mapleline/balancer/quota/client.py
@@ -16,16 +16,15 @@
 from .consultation_log import ConsultationLog, ConsultationOutcome
 from .placement import Distance, ReplicaPlacement
 from .replica import CounterReplica
-from .slots import SlotClock
+from .slots import KEPT_SLOTS, SlotClock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ...policy.window import Ask, Tenancy
     from ..clock import Clock, DelayedCall
     from ..environment import Environment
     from ..membership.table import MembershipTable
     from ..settings import Settings
+    from .replica import HomeRegions
 
 #: Then the nearest replica is asked again, and the others as well: longer than a round trip between regions, 40 ms.
 HEDGE_AFTER_S = 0.045
@@ -76,15 +75,23 @@
         settings: Settings,
         environment: Environment,
         membership: MembershipTable,
-        tenant_count: Callable[[], int],
+        home_regions: HomeRegions,
     ) -> None:
-        """`tenant_count` returns how many tenants the configuration in force has."""
+        """`home_regions` returns those of a tenant in the configuration in force."""
         self.clock = clock
-        self.send = environment.send
+        self._send_datagram = environment.send
         self.own_ip = membership.local_member.ip
         self.slots = SlotClock(clock, environment.unix_time, settings.protocol_bounds.quota_window)
-        self.placement = ReplicaPlacement(clock, settings, membership, tenant_count)
-        self.replica = CounterReplica(clock, membership, self.placement, self.slots, environment.send)
+        self.placement = ReplicaPlacement(clock, settings, membership, KEPT_SLOTS * self.slots.slot_s)
+        self.replica = CounterReplica(
+            clock,
+            membership,
+            self.placement,
+            self.slots,
+            home_regions,
+            self.send,
+            is_first_start=settings.initial_start,
+        )
         self.pending: dict[int, PendingConsultation] = {}
         self.nonce = int(self.slots.unix_time() * MS_PER_S) & FIRST_NONCE_MASK
         self.log = ConsultationLog()
@@ -115,10 +122,17 @@
         elif isinstance(message, CounterSync):
             self.replica.handle_sync(ip, message)
         elif message.is_addition:
-            self.send(ip, self.replica.increment(ip, message))
+            self.replica.increment(ip, message)
         else:
             self.replica.revert(ip, message)
 
+    def send(self, ip: int, message: CounterIncrement | CounterValue | CounterSync) -> None:
+        """Send a datagram to a node; what a replica on this node answers is handled at once."""
+        if ip == self.own_ip and isinstance(message, CounterValue):
+            self._handle_value(ip, message)
+        else:
+            self._send_datagram(ip, message)
+
     def _new_consultation(self, ask: Ask, homes: tuple[str, ...], replicas: list[int]) -> PendingConsultation:
         tenancy = ask.tenancy
         self.nonce = (self.nonce + 1) & NONCE_MASK
@@ -136,7 +150,7 @@
     def _send_increment(self, consultation: PendingConsultation, ip: int) -> None:
         consultation.asked.add(ip)
         if ip == self.own_ip:
-            self._handle_value(ip, self.replica.increment(ip, consultation.increment))
+            self.replica.increment(ip, consultation.increment)
         else:
             self.send(ip, consultation.increment)
 
--- a/mapleline/balancer/quota/replica.py
+++ b/mapleline/balancer/quota/replica.py
@@ -10,7 +10,8 @@
 from ..transport.addresses import ip_from_int
 from ..transport.messages import CounterIncrement, CounterRows, CounterSync, CounterValue
 from .counters import CounterReading, CounterTable, Operation
-from .slots import SlotClock
+from .past_knowledge import PastKnowledge, UnknownPast
+from .slots import KEPT_SLOTS, SlotClock
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -25,11 +26,17 @@
 #: A peer that has left a synchronisation unanswered for so long is taken for partitioned.
 PARTITION_AFTER_S = 0.6
 
+#: An answer waits so long for the tenant's past, if that is unknown: a round trip between regions.
+PAST_TIMEOUT_S = 0.05
+
 #: The window that an ingress of an earlier version gets the units of: no window of its estimates is longer.
 LONGEST_WINDOW_SLOTS = SLOTS // 2
 
 MS_PER_S = 1000
 
+#: Home regions of a tenant by the configuration in force; None if it has no such tenant.
+HomeRegions = Callable[[str], list[str] | None]
+
 
 class ClockOffset(NamedTuple):
     """By how many slots the clock of a peer's incarnation is behind the own one; it is even while both run."""
@@ -38,14 +45,30 @@
     slots: int
 
 
+class PastFetch(NamedTuple):
+    """The other replicas were asked for an unknown past of a tenant, and when."""
+
+    unknown: UnknownPast
+    asked_at: float
+
+
+class FormerHomes(NamedTuple):
+    """The home regions that a tenant had before, and in which slot that ended here."""
+
+    regions: tuple[str, ...]
+    until_slot: int
+
+
 class CounterReplica:
     """The counters of the shards that this node is a replica of.
 
     Attributes:
         table: The counters.
         slots: Names the slots of what is counted here.
+        past: Which tenants' pasts are known here.
         unanswered_since: Peers that have left a synchronisation unanswered, and since when.
-        homes: The home regions of each tenant that was counted here, as its last increment named them.
+        homes: The home regions of each tenant that was counted here, as its last increment named them: for tenants
+            that the configuration in force does not have.
     """
 
     def __init__(
@@ -54,40 +77,76 @@
         membership: MembershipTable,
         placement: ReplicaPlacement,
         slots: SlotClock,
-        send: Callable[[int, CounterSync], None],
+        home_regions: HomeRegions,
+        send: Callable[[int, CounterSync | CounterValue], None],
+        *,
+        is_first_start: bool,
     ) -> None:
-        """Without counters, in this process's incarnation."""
+        """Without counters, in this process's incarnation.
+
+        Args:
+            clock: Time and timers.
+            membership: Names incarnations.
+            placement: Says who the replicas are.
+            slots: Numbers slots.
+            home_regions: Returns the home regions of a tenant.
+            send: Sends a datagram to a node, this one included.
+            is_first_start: The whole system has started just now.
+        """
         self.clock = clock
         self.membership = membership
         self.placement = placement
         self.slots = slots
         self.send = send
         self.table = CounterTable(membership.session_key(membership.local_member.ip))
+        self.past = PastKnowledge(slots.current(), self._was_replica, is_first_start=is_first_start)
         self.unanswered_since: dict[int, float] = {}
         self.homes: dict[str, tuple[str, ...]] = {}
+        self._home_regions = home_regions
         self._clock_offsets: dict[int, ClockOffset] = {}
+        self._fetches: dict[str, PastFetch] = {}
+        self._former_homes: dict[str, FormerHomes] = {}
 
     def start(self) -> None:
         """Begin to synchronise, first after `SYNC_INTERVAL_S`."""
         self.clock.callLater(SYNC_INTERVAL_S, self._synchronise)
 
-    def increment(self, ip: int, message: CounterIncrement) -> CounterValue:
-        """Apply a node's increment in the current slot, and return the counts before it."""
+    # -- increments ----------------------------------------------------------------------------------------
+
+    def increment(self, ip: int, message: CounterIncrement) -> None:
+        """Apply a node's increment in the current slot, and send it the counts before it.
+
+        The first ones of a tenant whose past is unknown are answered once that is known, or after `PAST_TIMEOUT_S`.
+        """
         self.homes[message.tenant] = tuple(message.home_regions)
         operation = Operation(self.membership.session_key(ip), message.nonce)
         slot = self.slots.current()
         self.table.add(operation, message.tenant, slot, message.units, message.window_limit)
+        unknown = self.past.unknown_past(message.tenant, slot)
+        wait_s = self._fetch_past(message.tenant, unknown) if unknown is not None else 0.0
+        if wait_s > 0:
+            self.clock.callLater(wait_s, self._answer, ip, message, operation)
+        else:
+            self._answer(ip, message, operation)
+
+    def _answer(self, ip: int, message: CounterIncrement, operation: Operation) -> None:
         window_slots = message.window_slots or LONGEST_WINDOW_SLOTS
-        reading = self._read(message.tenant, slot, window_slots, operation)
-        if not message.window_slots:  # it names windows in its own way, and is told at least what is in its current one
-            return CounterValue(message.nonce, reading.current + reading.previous, 0.0)
-        share = self.slots.remaining_share(window_slots)
-        return CounterValue(message.nonce, reading.current, reading.previous, share, reading.in_quota_window)
-
-    def _read(self, tenant: str, slot: int, window_slots: int, operation: Operation) -> CounterReading:
-        """Return the counts without an operation, and with what others admit who are out of sight."""
+        reading = self._read(message, window_slots, operation)
+        if message.window_slots:
+            share = self.slots.remaining_share(window_slots)
+            value = CounterValue(message.nonce, reading.current, reading.previous, share, reading.in_quota_window)
+        else:  # an earlier version names windows in its own way, and is told at least what is in its current one
+            value = CounterValue(message.nonce, reading.current + reading.previous, 0.0)
+        self.send(ip, value)
+
+    def _read(self, message: CounterIncrement, window_slots: int, operation: Operation) -> CounterReading:
+        """Return the counts without an operation, and with what may have been admitted out of sight."""
+        tenant, slot, now = message.tenant, self.slots.current(), self.clock.seconds()
         reading = self.table.read(tenant, slot, window_slots, without=operation)
-        now = self.clock.seconds()
+        unknown = self.past.unknown_past(tenant, slot)
+        if unknown is not None:
+            assumed = unknown.reading(slot, window_slots, message.window_limit)
+            reading = CounterReading(*(units + more for units, more in zip(reading, assumed, strict=True)))
         if self._is_partitioned(tenant, now):
             # behind a partition the other replica lets in as much as this one
             own = self.table.read(tenant, slot, window_slots, own=True)
@@ -100,16 +159,76 @@
         self.homes[message.tenant] = tuple(message.home_regions)
         self.table.revert(Operation(self.membership.session_key(ip), message.nonce), message.tenant)
 
+    # -- the past ------------------------------------------------------------------------------------------
+
+    def _fetch_past(self, tenant: str, unknown: UnknownPast) -> float:
+        """Begin to ask the tenant's other replicas for its past; return how long to wait for that, in seconds."""
+        now = self.clock.seconds()
+        fetch = self._fetches.get(tenant)
+        if fetch is None or fetch.unknown != unknown:
+            fetch = self._fetches[tenant] = PastFetch(unknown, now)
+            if not self._request_past(tenant):
+                return 0.0
+        return fetch.asked_at + PAST_TIMEOUT_S - now
+
+    def _request_past(self, tenant: str) -> bool:
+        """Ask the tenant's other replicas for all their rows; return whether there are any."""
+        now = self.clock.seconds()
+        peers = self._peers_of(tenant)
+        for peer in peers:
+            updates = self.table.updates_for(now, self.membership.session_key(peer), {tenant}, complete=True)
+            self._send_sync(peer, updates, wants_past=True)
+        return bool(peers)
+
+    def _was_replica(self, tenant: str) -> bool:
+        """Return whether this node was a replica of the tenant as long as counts are kept, whatever its homes were."""
+        own_ip = self.membership.local_member.ip
+        homes = [self._homes_of(tenant), *self._former_homes_of(tenant)]
+        return all(self.placement.was_replica(own_ip, tenant, regions) for regions in homes)
+
+    def on_home_regions_changed(self, tenant: str, former: list[str]) -> None:
+        """Note that a tenant's counters were placed by other home regions until now."""
+        self._former_homes[tenant] = FormerHomes(tuple(sorted(former)), self.slots.current())
+
+    def _former_homes_of(self, tenant: str) -> list[tuple[str, ...]]:
+        former = self._former_homes.get(tenant)
+        return [former.regions] if former is not None else []
+
+    # -- synchronisation -----------------------------------------------------------------------------------
+
     def handle_sync(self, ip: int, message: CounterSync) -> None:
         """Merge a peer's rows; a synchronisation that is no answer itself is answered."""
         self.unanswered_since.pop(ip, None)
         self.table.merge(message.counters, self.slots.current(), self._clock_offset(ip, message.sender_unix_ms))
+        for tenant in message.known_tenants:
+            self.past.learn(tenant)
         self.placement.suspects.trust(ip)
-        if not message.is_answer:
+        if message.is_answer:
+            return
+        if message.wants_past:
+            self._send_past(ip, message.counters)
+        else:
             self._send_sync(ip, self._rows_for_answer(ip, message.counters), is_answer=True)
 
-    def _send_sync(self, ip: int, updates: list[CounterRows], *, is_answer: bool = False) -> None:
-        self.send(ip, CounterSync(updates, is_answer, int(self.slots.unix_time() * MS_PER_S)))
+    def _send_past(self, ip: int, asked: list[CounterRows]) -> None:
+        """Send all rows of the tenants that were named, and which of their pasts are known here."""
+        tenants = {update.tenant for update in asked}
+        rows = self.table.updates_for(self.clock.seconds(), self.membership.session_key(ip), tenants, complete=True)
+        slot = self.slots.current()
+        known = sorted(tenant for tenant in tenants if self.past.is_known(tenant, slot))
+        self._send_sync(ip, rows, is_answer=True, known_tenants=known)
+
+    def _send_sync(
+        self,
+        ip: int,
+        updates: list[CounterRows],
+        *,
+        is_answer: bool = False,
+        wants_past: bool = False,
+        known_tenants: list[str] | None = None,
+    ) -> None:
+        unix_ms = int(self.slots.unix_time() * MS_PER_S)
+        self.send(ip, CounterSync(updates, is_answer, unix_ms, wants_past, known_tenants or []))
 
     def _clock_offset(self, ip: int, unix_ms: int) -> int:
         """Return what is added to the slot numbers of a peer; it is measured once for each of its incarnations."""
@@ -138,8 +257,19 @@
             return []
         return self.table.updates_for(0.0, self.membership.session_key(ip), tenants, complete=True)
 
+    def _homes_of(self, tenant: str) -> tuple[str, ...]:
+        homes = self._home_regions(tenant)
+        return tuple(sorted(homes)) if homes is not None else self.homes.get(tenant, ())
+
     def _replicas_of(self, tenant: str) -> list[int]:
-        return self.placement.replicas_of(tenant, self.homes.get(tenant, ()))
+        return self.placement.replicas_of(tenant, self._homes_of(tenant))
+
+    def _peers_of(self, tenant: str) -> list[int]:
+        """Return with whom this node shares what it counts of a tenant."""
+        peers = self.placement.peers_of(tenant, self._homes_of(tenant))
+        for former in self._former_homes_of(tenant):
+            peers += [peer for peer in self.placement.peers_of(tenant, former) if peer not in peers]
+        return peers
 
     def _is_partitioned(self, tenant: str, now: float) -> bool:
         """Return whether a replica of the tenant has not answered for long."""
@@ -151,24 +281,31 @@
         """Drop what is too old, and send each peer the rows that are due."""
         self.clock.callLater(SYNC_INTERVAL_S, self._synchronise)
         now = self.clock.seconds()
-        self.table.expire(self.slots.current())
-        for peer, tenants in self._tenants_by_peer().items():
+        self._expire()
+        slot = self.slots.current()
+        for tenant in list(self._fetches):
+            if self.past.is_known(tenant, slot):
+                del self._fetches[tenant]
+            else:
+                self._request_past(tenant)  # its answer may have been lost
+        tenants_by_peer: dict[int, set[str]] = {}
+        for tenant in self.table.tenants():
+            for peer in self._peers_of(tenant):
+                tenants_by_peer.setdefault(peer, set()).add(tenant)
+        for peer, tenants in tenants_by_peer.items():
             updates = self.table.updates_for(now, self.membership.session_key(peer), tenants)
             if updates:
                 self.unanswered_since.setdefault(peer, now)
                 self._send_sync(peer, updates)
 
-    def _tenants_by_peer(self) -> dict[int, set[str]]:
-        """Return the tenants that have counters here, by each other replica of their shards."""
-        own_ip = self.membership.local_member.ip
-        tenants_by_peer: dict[int, set[str]] = {}
-        replicas_by_shard: dict[tuple[int, tuple[str, ...]], list[int]] = {}  # placing is dear, tenants are many
-        for tenant in self.table.tenants():
-            homes = self.homes.get(tenant, ())
-            key = (self.placement.shard_of(tenant), homes)
-            if key not in replicas_by_shard:
-                replicas_by_shard[key] = self.placement.replicas_of(tenant, homes)
-            for replica in replicas_by_shard[key]:
-                if replica != own_ip:
-                    tenants_by_peer.setdefault(replica, set()).add(tenant)
-        return tenants_by_peer
+    def _expire(self) -> None:
+        """Forget counts, and tenants, that are too old to matter."""
+        slot = self.slots.current()
+        self.table.expire(slot)
+        self.past.expire(slot)
+        for tenant in [tenant for tenant in self.homes if tenant not in self.table.counters]:
+            del self.homes[tenant]
+            self._fetches.pop(tenant, None)
+        for tenant, former in list(self._former_homes.items()):
+            if slot - former.until_slot >= KEPT_SLOTS:
+                del self._former_homes[tenant]
--- a/mapleline/balancer/transport/messages/quota.py
+++ b/mapleline/balancer/transport/messages/quota.py
@@ -55,3 +55,5 @@
     counters: list[CounterRows]
     is_answer: bool = False
     sender_unix_ms: int = 0  #: the time of day by the sender's clock, by which it numbers slots; 0: not known
+    wants_past: bool = False  #: the answer is to have all rows of these tenants
+    known_tenants: list[str] = []  #: the sender knows all that was counted of these, and sends it herewith
--- a/mapleline/simulation/workload.py
+++ b/mapleline/simulation/workload.py
@@ -32,10 +32,11 @@
 
 @dataclass(frozen=True)
 class Quota:
-    """A tenant's rate limit; rate 0 is none."""
+    """A tenant's rate limit, rate 0 is none, and where it may be served."""
 
     rate_s: float
     burst: float
+    home_regions: tuple[str, ...] = ()
 
 
 ROUTES = {
@@ -104,7 +105,8 @@
 
 
 def _tenant_row(quota: Quota, keys: list[str]) -> dict[str, Any]:
-    return {"api_keys": keys, "rate_per_s": quota.rate_s, "burst_size": quota.burst}
+    row = {"api_keys": keys, "rate_per_s": quota.rate_s, "burst_size": quota.burst}
+    return {**row, "home_regions": list(quota.home_regions)} if quota.home_regions else row
 
 
 class InvalidVariant(IntEnum):
--- a/tests/balancer/golden_samples.py
+++ b/tests/balancer/golden_samples.py
@@ -168,6 +168,8 @@
             counters=[part, messages.CounterRows(tenant="t2", slot=171, rows=[])],
             is_answer=True,
             sender_unix_ms=1_700_000_000_250,
+            wants_past=True,
+            known_tenants=["t1"],
         ),
         "count_rows_bare": messages.CounterSync(counters=[]),
         "server_load": messages.LoadReport(
--- a/tests/balancer/quota/test_placement.py
+++ b/tests/balancer/quota/test_placement.py
@@ -1,8 +1,20 @@
 """The choice of a shard's replicas."""
 
 import unittest
+from unittest import mock
 
-from mapleline.balancer.quota.placement import Candidate, choose_replicas
+from mapleline.balancer.membership.member import Member, MemberFlags
+from mapleline.balancer.membership.table import MembershipTable
+from mapleline.balancer.quota.placement import (
+    MAX_MISSES,
+    SUSPECT_S,
+    VIEW_MAX_AGE_S,
+    Candidate,
+    ReplicaPlacement,
+    choose_replicas,
+    rank_candidates,
+    shard_of,
+)
 
 REGIONS = ("east", "east", "west")
 
@@ -11,16 +23,80 @@
     def test_replicas_are_in_different_regions(self):
         candidates = [Candidate(ip, ip % 3, REGIONS[ip % 3], has_disk=False) for ip in range(1, 10)]
         for shard in range(5):
-            first, second = choose_replicas(shard, "", candidates)
+            first, second = choose_replicas(rank_candidates(shard, "", candidates))
             self.assertNotEqual(REGIONS[first % 3], REGIONS[second % 3])
 
     def test_in_one_region_replicas_are_in_different_zones_and_without_a_disk(self):
         candidates = [Candidate(ip, ip % 2, "east", has_disk=ip < 3) for ip in range(1, 10)]
         for shard in range(5):
-            first, second = choose_replicas(shard, "east", candidates)
+            first, second = choose_replicas(rank_candidates(shard, "east", candidates))
             self.assertNotEqual(first % 2, second % 2)
             self.assertGreater(min(first, second), 2)
 
     def test_in_one_zone_there_is_one_replica(self):
         candidates = [Candidate(1, 0, "east", has_disk=True), Candidate(2, 0, "east", has_disk=False)]
-        self.assertEqual(len(choose_replicas(0, "", candidates)), 1)
+        self.assertEqual(len(choose_replicas(rank_candidates(0, "", candidates))), 1)
+
+
+class TestReplicaPlacement(unittest.TestCase):
+    HISTORY_S = 5.5
+    HOMES = ()
+
+    def setUp(self):
+        self.now = 100.0
+        zones = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+        clock = mock.Mock(seconds=lambda: self.now)
+        settings = mock.Mock(zones=zones, zone="a1", region="a")
+        self.membership = MembershipTable(Member(1, 0, 0, 1, 1, 1e9), 0.5)
+        for ip in range(2, 13):
+            self.membership.members[ip] = Member(ip, ip % 4, 0, 1, 1, 1e9)
+        self.placement = ReplicaPlacement(clock, settings, self.membership, self.HISTORY_S)
+
+    def suspect(self, ip):
+        for _ in range(MAX_MISSES):
+            self.placement.suspects.record_miss(ip)
+
+    def ranked(self, tenant):
+        candidates = [
+            Candidate(member.ip, member.zone, "aabb"[member.zone], has_disk=False)
+            for member in self.membership.members.values()
+        ]
+        return [candidate.ip for candidate in rank_candidates(shard_of(tenant), "", candidates)]
+
+    def test_a_suspected_replica_is_passed_over_at_once_and_asked_again_later(self):
+        first, second = self.placement.replicas_of("t", self.HOMES)
+        self.suspect(first)
+        self.assertNotIn(first, self.placement.replicas_of("t", self.HOMES))
+        self.now += SUSPECT_S + VIEW_MAX_AGE_S
+        self.assertEqual(self.placement.replicas_of("t", self.HOMES), [first, second])
+
+    def test_nodes_that_come_and_go_are_seen_after_a_while(self):
+        first, _ = self.placement.replicas_of("t", self.HOMES)
+        self.membership.members[first].flags = int(MemberFlags.LEAVING)
+        self.now += 2 * VIEW_MAX_AGE_S
+        self.assertNotIn(first, self.placement.replicas_of("t", self.HOMES))
+
+    def test_a_node_was_a_replica_if_it_was_all_the_time_suspicions_apart(self):
+        first, second = self.placement.replicas_of("t", self.HOMES)
+        self.suspect(first)
+        self.assertTrue(self.placement.was_replica(first, "t", self.HOMES))
+        self.membership.members[first].flags = int(MemberFlags.LEAVING)
+        self.now += 1.0
+        new = next(ip for ip in self.placement.replicas_of("t", self.HOMES) if ip != second)
+        self.assertFalse(self.placement.was_replica(new, "t", self.HOMES))
+        self.now += self.HISTORY_S - 0.1
+        self.assertFalse(self.placement.was_replica(new, "t", self.HOMES))
+        self.now += 0.2
+        self.assertTrue(self.placement.was_replica(new, "t", self.HOMES))
+
+    def test_a_replica_shares_with_the_other_one_also_while_it_suspects_it(self):
+        tenant = next(f"t{n}" for n in range(99) if self.placement.replicas_of(f"t{n}", self.HOMES)[0] == 1)
+        other = self.placement.replicas_of(tenant, self.HOMES)[1]
+        self.assertEqual(self.placement.peers_of(tenant, self.HOMES), [other])
+        self.suspect(other)
+        self.assertIn(other, self.placement.peers_of(tenant, self.HOMES))
+
+    def test_one_that_is_no_replica_shares_with_those_that_the_shard_prefers(self):
+        tenant = next(f"t{n}" for n in range(999) if self.ranked(f"t{n}")[4] == 1)
+        peers = self.placement.peers_of(tenant, self.HOMES)
+        self.assertEqual(set(peers), {*self.placement.replicas_of(tenant, self.HOMES), *self.ranked(tenant)[:4]})
--- a/tests/balancer/test_golden_bytes.py
+++ b/tests/balancer/test_golden_bytes.py
@@ -54,9 +54,16 @@
         for name, data in samples.read_hex(samples.MESSAGES_BEFORE_SLOTS_FILE).items():
             with self.subTest(name):
                 sample = self.samples[name]
-                added = {"window_slots", "remaining_share", "quota_window_units", "sender_unix_ms"}
+                added = {
+                    "window_slots",
+                    "remaining_share",
+                    "quota_window_units",
+                    "sender_unix_ms",
+                    "wants_past",
+                    "known_tenants",
+                }
                 defaults = {
-                    field.name: field.default for field in msgspec.structs.fields(sample) if field.name in added
+                    field.name: field_default(field) for field in msgspec.structs.fields(sample) if field.name in added
                 }
                 self.assertTrue(defaults)
                 self.assertEqual(samples.decoded_message(name, data), msgspec.structs.replace(sample, **defaults))
--- a/tests/balancer/transport/test_counter_messages.py
+++ b/tests/balancer/transport/test_counter_messages.py
@@ -75,7 +75,7 @@
                     mock.Mock(zones={"z1": "r1"}, protocol_bounds=Bounds()),
                     mock.Mock(unix_time=lambda: 1.0),
                     replica.membership,
-                    lambda: 1,
+                    lambda tenant: None,
                 )
                 for sender in (client, client, make_fence(1, 11)):
                     message, _ = replica.receive_datagram(1, sender.stamp_datagram(2, INCREMENT))
@@ -100,7 +100,7 @@
             mock.Mock(zones={"z1": "r1"}, protocol_bounds=Bounds()),
             mock.Mock(unix_time=lambda: 1.0),
             make_fence(1, 10, {2: 20, 3: 30}).membership,
-            lambda: 1,
+            lambda tenant: None,
         )
         got, tenancy = [], mock.Mock(limit=5.0, window_slots=2)
         tenancy.name = "t"
--- a/tests/balancer/transport/test_fencing_of_nodes.py
+++ b/tests/balancer/transport/test_fencing_of_nodes.py
@@ -123,10 +123,14 @@
             found, scenario = result.violations, result.scenario
             values = {}
             for machine in scenario.world.machines.values():
-                for name, counter in machine.node.quota_client.replica.table.counters.items():
+                quota_client = machine.node.quota_client
+                for name, counter in quota_client.replica.table.counters.items():
+                    if machine.ip not in quota_client.placement.replicas_of(name, ()):
+                        continue  # it stood in for a suspected replica, and is told no more since
                     units_by_slot = {number: slot.units(None) for number, slot in counter.slots.items()}
                     values.setdefault(name, []).append({n: units for n, units in units_by_slot.items() if units})
             self.assertGreater(sum(admitted[name] for name in values), 20)
+            self.assertEqual({len(counts) for counts in values.values()}, {2})
             return found, [
                 (name, counts, admitted[name])
                 for name, counts in values.items()
--- a/tests/simulation/test_quota_scenarios.py
+++ b/tests/simulation/test_quota_scenarios.py
@@ -2,8 +2,18 @@
 
 import logging
 import unittest
+from contextlib import ExitStack
+from unittest import mock
 
+from msgspec.structs import replace
+
+from mapleline.balancer.proxy.quota_attempts import QuotaAttemptCounter
+from mapleline.balancer.quota.past_knowledge import PastKnowledge
+from mapleline.balancer.quota.placement import ReplicaPlacement
+from mapleline.balancer.quota.replica import CounterReplica
+from mapleline.balancer.quota.slots import SlotClock
 from mapleline.simulation.final_fault import FinalFault
+from mapleline.simulation.invariants import Rule
 from mapleline.simulation.runner import RunOptions, run_scenario
 from mapleline.simulation.workload import Quota
 
@@ -96,6 +106,30 @@
         scenario.world.after(float(number), scenario.faults.kill, [machines[number % len(machines)]], 0.5)
 
 
+def replicas_restarted_in_series(scenario):
+    """Restart the next machine that holds counters before the last one has caught up."""
+    overload(scenario)
+    machines = diskless_machines(scenario)
+    for number in range(int(DURATION_S / 0.35)):
+        scenario.world.after(0.35 * number, scenario.faults.kill, [machines[number % len(machines)]], 0.1)
+
+
+def replicas_killed_at_once(scenario):
+    """Kill all machines that hold counters at the same moment, again and again."""
+    overload(scenario)
+    for number in range(int(DURATION_S / 3.0)):
+        scenario.world.after(2.0 + 3.0 * number, scenario.faults.kill, diskless_machines(scenario), 0.1)
+
+
+def changed_home_regions(scenario):
+    """Change where the tenant may be served, and so where it may be counted."""
+    overload(scenario)
+    homes = ((), ("a",), ("b",))
+    for number in range(int(DURATION_S / 0.9)):
+        quota = Quota(RATE_S, 20.0, homes[number % len(homes)])
+        scenario.world.after(0.9 * number, scenario.operators.change_quotas, {HOT_TENANT: quota})
+
+
 def failing_servers(scenario):
     """Let servers lose many responses: requests are hedged and retried, so that some run more than once."""
     overload(scenario)
@@ -105,6 +139,17 @@
         server.response_loss_rate = 0.3
 
 
+def count_by_limit(replica, ip, message, increment=CounterReplica.increment):
+    """Count a tenant's requests apart for each limit."""
+    increment(replica, ip, replace(message, tenant=f"{message.tenant} {message.window_limit}"))
+
+
+def share_with_replicas_alone(placement, tenant, homes):
+    """Share counts with nobody but the replicas by the own view, without those that are suspected."""
+    own_ip = placement.membership.local_member.ip
+    return [ip for ip in placement.replicas_of(tenant, homes) if ip != own_ip]
+
+
 class TestQuotaScenarios(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -131,3 +176,29 @@
 
     def test_restarted_replicas_renew_no_count(self):
         self.holds(restarted_replicas)
+
+    def test_replicas_restarted_in_series_renew_no_count(self):
+        self.holds(replicas_restarted_in_series)
+
+    def test_replicas_killed_at_once_give_no_fresh_burst(self):
+        self.holds(replicas_killed_at_once)
+
+    def test_changed_home_regions_renew_no_count(self):
+        self.holds(changed_home_regions)
+
+    def test_each_scenario_is_found_without_its_defence(self):
+        knows_the_past = mock.patch.object(PastKnowledge, "unknown_past", lambda *_: None)
+        shares_with_few = mock.patch.object(ReplicaPlacement, "peers_of", share_with_replicas_alone)
+        for schedule, *defences in (
+            (often_changed_limit, mock.patch.object(CounterReplica, "increment", count_by_limit)),
+            (replicas_killed_at_once, knows_the_past),
+            (replicas_restarted_in_series, knows_the_past, shares_with_few),  # either of the two is enough
+            (failing_servers, mock.patch.object(QuotaAttemptCounter, "on_sent", lambda *_: None)),
+            (every_clock_differs, mock.patch.object(SlotClock, "offset_of", lambda *_: 0)),
+        ):
+            with ExitStack() as stack:
+                for defence in defences:
+                    stack.enter_context(defence)
+                result = run_scenario(SEEDS[0], schedule, RunOptions(DURATION_S, FinalFault.NONE, LOAD))
+            found = {violation.rule for violation in result.violations}
+            self.assertIn(Rule.QUOTA, found, schedule.__name__)
--- a/tests/simulation/test_slow_start_scenarios.py
+++ b/tests/simulation/test_slow_start_scenarios.py
@@ -110,6 +110,18 @@
         )
 
     @known_red
+    def test_a_process_that_starts_just_after_a_slow_start_sends_as_if_it_went_on(self):
+        """Check that a list without a slow start is not taken for a second without one."""
+
+        def restart_machines_as_slow_start_ends(scenario):
+            slow_start_scenarios.overload(scenario, load_factor=30.0)
+            scenario.world.after(1.0, lambda: restart_zone(scenario, "a1"))
+            scenario.world.after(3.5, lambda: scenario.faults.kill(list(scenario.world.machines.values()), 0.1))
+
+        for seed in (3, 4, 5):
+            found = self.found(restart_machines_as_slow_start_ends, seed, duration_s=8.0, load=3.0)
+            self.assertEqual(found, [], f"seed {seed}")
+
     def test_stacked_random_faults(self):
         for seed in (103, 201, 323):  # each broke the rule once
             self.assertEqual(self.found(slow_start_scenarios.stacked_faults, seed), [], f"seed {seed}")
