Ask for unknown pasts a few times at most, and send own rows alone; a soak of real processes

Regular synchronisations repeated rows that their owners send themselves. Change: four tries, ever later, of three peers; regular synchronisations have the own row. mapleline soak: node processes on loopback, stand-ins for clients on kept connections, servers, platform and operator, signals and restarts in series that overlap, judged from what the stand-ins saw.

--- a/mapleline/balancer/cli/commands.py
+++ b/mapleline/balancer/cli/commands.py
@@ -288,6 +288,28 @@
         print_result(run(self.check))
 
 
+@cappa.command(name="soak", help="Many node processes on loopback under load, faults and changes, judged from outside")
+@dataclass
+class SoakCommand:
+    """Run soaks by seeds."""
+
+    seed: Annotated[int, cappa.Arg(long="--seed", help="the first one")] = 1
+    seeds: Annotated[int, cappa.Arg(long="--seeds", help="how many, one after the other")] = 1
+    nodes: Annotated[int, cappa.Arg(long="--nodes", help="processes of the program")] = 12
+    seconds: Annotated[float, cappa.Arg(long="--seconds", help="how long the load lasts")] = 20.0
+    load: Annotated[float, cappa.Arg(long="--load", help="factor on the clients' rates")] = 1.0
+    node_command: Annotated[str, cappa.Arg(long="--node-command", help="what a node runs, in place of this")] = ""
+    logs: Annotated[Path | None, cappa.Arg(long="--logs", help="a folder where logs and data are kept")] = None
+
+    def __call__(self) -> None:
+        """Print a line a seed, and the broken rules."""
+        from ...soak.command import run_seeds
+        from ...soak.runner import SoakOptions, node_command
+
+        options = SoakOptions(self.seed, self.nodes, self.seconds, self.load, node_command(self.node_command))
+        print_result(run_seeds(options, self.seeds, self.logs))
+
+
 @cappa.command(name="mapleline", help="The global load balancer.  For the ingress alone: mapleline --help")
 @dataclass
 class BalancerCli:
@@ -302,6 +324,7 @@
         | StatusCommand
         | ArchiveCommand
         | TryCommand
+        | SoakCommand
     ]
 
 
--- a/mapleline/balancer/quota/counters.py
+++ b/mapleline/balancer/quota/counters.py
@@ -163,12 +163,18 @@
             return True
         return changes > 0 and now - sent.at >= SYNC_MAX_DELAY_S
 
-    def slots_for(self, peer: int, *, complete: bool) -> Iterator[tuple[int, SlotCounter]]:
-        """Yield the slots whose own row the peer does not have as it is; all, if it has none or with `complete`."""
-        known = self.sent.get(peer, NEVER_SENT).changes
+    def rows_for(self, peer: int, own: int, *, complete: bool) -> Iterator[tuple[int, list[ReplicaCount]]]:
+        """Yield slots and their rows for a peer: own ones that it does not have; all, if it has none or `complete`.
+
+        The rows of others come to it from them.
+        """
+        sent = self.sent.get(peer, NEVER_SENT)
+        has_all = sent is not NEVER_SENT and not complete
         for number, counter in self.slots.items():
-            if complete or counter.changed_at > known:
-                yield number, counter
+            if not has_all:
+                yield number, [ReplicaCount(replica, *row) for replica, row in counter.rows.items()]
+            elif counter.changed_at > sent.changes:
+                yield number, [ReplicaCount(own, *counter.rows[own])]
 
 
 class CounterTable:
@@ -261,8 +267,7 @@
         for tenant, counter in self.counters.items():
             if tenant not in tenants or not (complete or counter.is_sync_due(now, peer)):
                 continue
-            for number, slot in counter.slots_for(peer, complete=complete):
-                rows = [ReplicaCount(replica, row.version, row.units) for replica, row in slot.rows.items()]
+            for number, rows in counter.rows_for(peer, self.own, complete=complete):
                 updates.append(CounterRows(tenant, number, rows))
             counter.sent[peer] = SentChanges(counter.changes, now)
         return updates
--- a/mapleline/balancer/quota/replica.py
+++ b/mapleline/balancer/quota/replica.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 from ...policy.window import SLOTS
@@ -29,6 +30,12 @@
 #: An answer waits so long for the tenant's past, if that is unknown: a round trip between regions.
 PAST_TIMEOUT_S = 0.05
 
+#: A past is asked for so often at most, of so many: after the first time in `PAST_RETRY_S` times the factor, then later.
+MAX_PAST_TRIES = 4
+PAST_RETRY_S = 0.05
+MAX_PAST_PEERS = 3
+PAST_RETRY_FACTOR = 2
+
 #: The window that an ingress of an earlier version gets the units of: no window of its estimates is longer.
 LONGEST_WINDOW_SLOTS = SLOTS // 2
 
@@ -45,11 +52,21 @@
     slots: int
 
 
-class PastFetch(NamedTuple):
-    """The other replicas were asked for an unknown past of a tenant, and when."""
+@dataclass(slots=True)
+class PastFetch:
+    """The other replicas are asked for an unknown past of a tenant.
+
+    Attributes:
+        unknown: The past.
+        began_at: When they were asked first.
+        tries: How often they were asked so far.
+        next_try_at: When they are asked again, for the answer may have been lost.
+    """
 
     unknown: UnknownPast
-    asked_at: float
+    began_at: float
+    tries: int = 0
+    next_try_at: float = 0.0
 
 
 class FormerHomes(NamedTuple):
@@ -167,19 +184,30 @@
         fetch = self._fetches.get(tenant)
         if fetch is None or fetch.unknown != unknown:
             fetch = self._fetches[tenant] = PastFetch(unknown, now)
-            if not self._request_past(tenant):
+            if not self._request_past(tenant, fetch):
                 return 0.0
-        return fetch.asked_at + PAST_TIMEOUT_S - now
+        return fetch.began_at + PAST_TIMEOUT_S - now
 
-    def _request_past(self, tenant: str) -> bool:
+    def _request_past(self, tenant: str, fetch: PastFetch) -> bool:
         """Ask the tenant's other replicas for all their rows; return whether there are any."""
         now = self.clock.seconds()
-        peers = self._peers_of(tenant)
+        fetch.tries += 1
+        fetch.next_try_at = now + PAST_RETRY_S * PAST_RETRY_FACTOR**fetch.tries
+        peers = self._peers_of(tenant)[:MAX_PAST_PEERS]
         for peer in peers:
             updates = self.table.updates_for(now, self.membership.session_key(peer), {tenant}, complete=True)
             self._send_sync(peer, updates, wants_past=True)
         return bool(peers)
 
+    def _retry_fetches(self, now: float) -> None:
+        """Ask again for pasts that are unknown still, a few times."""
+        slot = self.slots.current()
+        for tenant, fetch in list(self._fetches.items()):
+            if self.past.is_known(tenant, slot):
+                del self._fetches[tenant]
+            elif fetch.tries < MAX_PAST_TRIES and now >= fetch.next_try_at:
+                self._request_past(tenant, fetch)
+
     def _was_replica(self, tenant: str) -> bool:
         """Return whether this node was a replica of the tenant as long as counts are kept, whatever its homes were."""
         own_ip = self.membership.local_member.ip
@@ -282,12 +310,7 @@
         self.clock.callLater(SYNC_INTERVAL_S, self._synchronise)
         now = self.clock.seconds()
         self._expire()
-        slot = self.slots.current()
-        for tenant in list(self._fetches):
-            if self.past.is_known(tenant, slot):
-                del self._fetches[tenant]
-            else:
-                self._request_past(tenant)  # its answer may have been lost
+        self._retry_fetches(now)
         tenants_by_peer: dict[int, set[str]] = {}
         for tenant in self.table.tenants():
             for peer in self._peers_of(tenant):
--- a/mapleline/cli/__init__.py
+++ b/mapleline/cli/__init__.py
@@ -7,7 +7,7 @@
 #: The global load balancer's commands (balancer/cli/commands.py); `desk` is a hidden alias of `balancer`.  The others
 #: are those of the ingress.
 BALANCER_COMMANDS = frozenset(
-    {"balancer", "desk", "settings", "config", "evacuate", "core", "status", "archive", "try"}
+    {"balancer", "desk", "settings", "config", "evacuate", "core", "status", "archive", "try", "soak"}
 )
 EXIT_MISSING_PACKAGE = 3
 EXIT_INTERRUPTED = 130  # as of a shell: 128 and the number of SIGINT
