--- a/mapleline/balancer/quota/replica.py
+++ b/mapleline/balancer/quota/replica.py
@@ -30,7 +30,7 @@
 #: An answer waits so long for the tenant's past, if that is unknown: a round trip between regions.
 PAST_TIMEOUT_S = 0.05
 
-#: A past is asked for so often at most, of so many: after the first time in `PAST_RETRY_S` times the factor, then later.
+#: A past is asked for so often at most, of so many: again after `PAST_RETRY_S` times the factor, then ever later.
 MAX_PAST_TRIES = 4
 PAST_RETRY_S = 0.05
 MAX_PAST_PEERS = 3
