--- a/mapleline/balancer/quota/replica.py
+++ b/mapleline/balancer/quota/replica.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 from ...policy.window import SLOTS
-from ..transport.addresses import ip_from_int
 from ..transport.messages import CounterIncrement, CounterRows, CounterSync, CounterValue
+from .clock_offsets import ClockOffsets
 from .counters import CounterReading, CounterTable, Operation
-from .past_knowledge import PastKnowledge, UnknownPast
+from .past_fetcher import PastFetcher
+from .past_knowledge import PastKnowledge
 from .slots import KEPT_SLOTS, SlotClock
 
 if TYPE_CHECKING:
@@ -19,56 +18,19 @@
     from ..membership.table import MembershipTable
     from .placement import ReplicaPlacement
 
-logger = logging.getLogger(__name__)
-
 #: Between two looks at what peers have to be sent (docs/design/system.md, Bounds, QUOTA).
 SYNC_INTERVAL_S = 0.05
 
 #: A peer that has left a synchronisation unanswered for so long is taken for partitioned.
 PARTITION_AFTER_S = 0.6
 
-#: An answer waits so long for the tenant's past, if that is unknown: a round trip between regions.
-PAST_TIMEOUT_S = 0.05
-
-#: A past is asked for so often at most, of so many: again after `PAST_RETRY_S` times the factor, then ever later.
-MAX_PAST_TRIES = 4
-PAST_RETRY_S = 0.05
-MAX_PAST_PEERS = 3
-PAST_RETRY_FACTOR = 2
-
 #: The window that an ingress of an earlier version gets the units of: no window of its estimates is longer.
 LONGEST_WINDOW_SLOTS = SLOTS // 2
 
-MS_PER_S = 1000
-
 #: Home regions of a tenant by the configuration in force; None if it has no such tenant.
 HomeRegions = Callable[[str], list[str] | None]
 
 
-class ClockOffset(NamedTuple):
-    """By how many slots the clock of a peer's incarnation is behind the own one; it is even while both run."""
-
-    incarnation: int
-    slots: int
-
-
-@dataclass(slots=True)
-class PastFetch:
-    """The other replicas are asked for an unknown past of a tenant.
-
-    Attributes:
-        unknown: The past.
-        began_at: When they were asked first.
-        tries: How often they were asked so far.
-        next_try_at: When they are asked again, for the answer may have been lost.
-    """
-
-    unknown: UnknownPast
-    began_at: float
-    tries: int = 0
-    next_try_at: float = 0.0
-
-
 class FormerHomes(NamedTuple):
     """The home regions that a tenant had before, and in which slot that ended here."""
 
@@ -120,8 +82,8 @@
         self.unanswered_since: dict[int, float] = {}
         self.homes: dict[str, tuple[str, ...]] = {}
         self._home_regions = home_regions
-        self._clock_offsets: dict[int, ClockOffset] = {}
-        self._fetches: dict[str, PastFetch] = {}
+        self._clock_offsets = ClockOffsets(membership, slots)
+        self._past_fetcher = PastFetcher(self._peers_of, self._request_past)
         self._former_homes: dict[str, FormerHomes] = {}
 
     def start(self) -> None:
@@ -133,14 +95,16 @@
     def increment(self, ip: int, message: CounterIncrement) -> None:
         """Apply a node's increment in the current slot, and send it the counts before it.
 
-        The first ones of a tenant whose past is unknown are answered once that is known, or after `PAST_TIMEOUT_S`.
+        The first ones of a tenant whose past is unknown are answered after that was asked for.
         """
         self.homes[message.tenant] = tuple(message.home_regions)
         operation = Operation(self.membership.session_key(ip), message.nonce)
         slot = self.slots.current()
         self.table.add(operation, message.tenant, slot, message.units, message.window_limit)
         unknown = self.past.unknown_past(message.tenant, slot)
-        wait_s = self._fetch_past(message.tenant, unknown) if unknown is not None else 0.0
+        wait_s = 0.0
+        if unknown is not None:
+            wait_s = self._past_fetcher.fetch(message.tenant, unknown, self.clock.seconds())
         if wait_s > 0:
             self.clock.callLater(wait_s, self._answer, ip, message, operation)
         else:
@@ -178,35 +142,11 @@
 
     # -- the past ------------------------------------------------------------------------------------------
 
-    def _fetch_past(self, tenant: str, unknown: UnknownPast) -> float:
-        """Begin to ask the tenant's other replicas for its past; return how long to wait for that, in seconds."""
-        now = self.clock.seconds()
-        fetch = self._fetches.get(tenant)
-        if fetch is None or fetch.unknown != unknown:
-            fetch = self._fetches[tenant] = PastFetch(unknown, now)
-            if not self._request_past(tenant, fetch):
-                return 0.0
-        return fetch.began_at + PAST_TIMEOUT_S - now
-
-    def _request_past(self, tenant: str, fetch: PastFetch) -> bool:
-        """Ask the tenant's other replicas for all their rows; return whether there are any."""
+    def _request_past(self, peer: int, tenant: str) -> None:
+        """Ask a node for all rows of a tenant, and send it those that are here."""
         now = self.clock.seconds()
-        fetch.tries += 1
-        fetch.next_try_at = now + PAST_RETRY_S * PAST_RETRY_FACTOR**fetch.tries
-        peers = self._peers_of(tenant)[:MAX_PAST_PEERS]
-        for peer in peers:
-            updates = self.table.updates_for(now, self.membership.session_key(peer), {tenant}, complete=True)
-            self._send_sync(peer, updates, wants_past=True)
-        return bool(peers)
-
-    def _retry_fetches(self, now: float) -> None:
-        """Ask again for pasts that are unknown still, a few times."""
-        slot = self.slots.current()
-        for tenant, fetch in list(self._fetches.items()):
-            if self.past.is_known(tenant, slot):
-                del self._fetches[tenant]
-            elif fetch.tries < MAX_PAST_TRIES and now >= fetch.next_try_at:
-                self._request_past(tenant, fetch)
+        updates = self.table.updates_for(now, self.membership.session_key(peer), {tenant}, complete=True)
+        self._send_sync(peer, updates, wants_past=True)
 
     def _was_replica(self, tenant: str) -> bool:
         """Return whether this node was a replica of the tenant as long as counts are kept, whatever its homes were."""
@@ -227,7 +167,9 @@
     def handle_sync(self, ip: int, message: CounterSync) -> None:
         """Merge a peer's rows; a synchronisation that is no answer itself is answered."""
         self.unanswered_since.pop(ip, None)
-        self.table.merge(message.counters, self.slots.current(), self._clock_offset(ip, message.sender_unix_ms))
+        self.table.merge(
+            message.counters, self.slots.current(), self._clock_offsets.offset_of(ip, message.sender_unix_ms)
+        )
         for tenant in message.known_tenants:
             self.past.learn(tenant)
         self.placement.suspects.trust(ip)
@@ -255,25 +197,9 @@
         wants_past: bool = False,
         known_tenants: list[str] | None = None,
     ) -> None:
-        unix_ms = int(self.slots.unix_time() * MS_PER_S)
+        unix_ms = self._clock_offsets.own_unix_ms()
         self.send(ip, CounterSync(updates, is_answer, unix_ms, wants_past, known_tenants or []))
 
-    def _clock_offset(self, ip: int, unix_ms: int) -> int:
-        """Return what is added to the slot numbers of a peer; it is measured once for each of its incarnations."""
-        if not unix_ms:
-            return 0
-        incarnation = self.membership.incarnation(ip)
-        known = self._clock_offsets.get(ip)
-        if known is None or known.incarnation != incarnation:
-            known = ClockOffset(incarnation, self.slots.offset_of(unix_ms / MS_PER_S))
-            self._clock_offsets[ip] = known
-            if known.slots:
-                behind_s = known.slots * self.slots.slot_s
-                logger.info(
-                    "clock of a counter replica is off", extra={"replica": ip_from_int(ip), "behind_s": behind_s}
-                )
-        return known.slots
-
     def _rows_for_answer(self, ip: int, received: list[CounterRows]) -> list[CounterRows]:
         """Nothing for a peer of ours.
 
@@ -310,7 +236,8 @@
         self.clock.callLater(SYNC_INTERVAL_S, self._synchronise)
         now = self.clock.seconds()
         self._expire()
-        self._retry_fetches(now)
+        slot = self.slots.current()
+        self._past_fetcher.retry(now, lambda tenant: self.past.is_known(tenant, slot))
         tenants_by_peer: dict[int, set[str]] = {}
         for tenant in self.table.tenants():
             for peer in self._peers_of(tenant):
@@ -328,7 +255,7 @@
         self.past.expire(slot)
         for tenant in [tenant for tenant in self.homes if tenant not in self.table.counters]:
             del self.homes[tenant]
-            self._fetches.pop(tenant, None)
+            self._past_fetcher.forget(tenant)
         for tenant, former in list(self._former_homes.items()):
             if slot - former.until_slot >= KEPT_SLOTS:
                 del self._former_homes[tenant]
--- a/mapleline/policy/estimate.py
+++ b/mapleline/policy/estimate.py
@@ -3,7 +3,7 @@
 CHANCE = 0.1  # in the choice of a server: gateways that know nothing yet must not choose alike
 
 
-def weighted(previous, left, current):
+def weighted(previous: float, left: float, current: float) -> float:
     """The two-window estimate.  `left`: share of the window that is left; `current`: before this request."""
     return previous * left + current
 
--- a/mapleline/policy/window.py
+++ b/mapleline/policy/window.py
@@ -1,4 +1,4 @@
-"""The two-window estimate of a tenant's use, and what it says of a try.
+"""The two-window estimate of a tenant's use, and what it says of a request.
 
 The window is about one burst time long: the longest whose limit lets the whole rate through, in whole slots.  The
 limit is what the quota's own window may hold, spread over the windows that can lie in it (one more than fit); a part
@@ -16,16 +16,14 @@
 
 from .estimate import weighted
 
-SPARE = 0.6  # of overshoot and slack that are used: replicas far apart do not see each other's last increments
-EVEN = 1.05  # of the rate goes on through full windows
-SLOTS = 10  # that a quota's own window is divided into; the longest window of an estimate is half of it
+#: Of overshoot and slack that are used: replicas far apart do not see each other's last increments.
+USED_SPARE_SHARE = 0.6
 
+#: Of the rate goes on through full windows.
+MIN_RATE_FACTOR = 1.05
 
-def room_after(previous: float, left: float, current: float, limit: float) -> float:
-    """After which share of the window the estimate is down at the limit; `left` if only its end helps."""
-    if current > limit or previous <= 0:
-        return left
-    return min(left, max(0.0, (weighted(previous, left, current) - limit) / previous))
+#: That a quota's own window is divided into; the longest window of an estimate is half of it.
+SLOTS = 10
 
 
 class WindowUsage(NamedTuple):
@@ -39,55 +37,81 @@
     remaining_share: float
     in_quota_window: float = 0.0
 
+    @property
+    def estimate(self) -> float:
+        """The units of a sliding window: the previous one counts by the share of the current one that is left."""
+        return weighted(self.previous, self.remaining_share, self.current)
+
+
+def room_after(usage: WindowUsage, limit: float) -> float:
+    """Return after which share of the window the estimate is down at the limit; what is left if only its end helps."""
+    if usage.current > limit or usage.previous <= 0:
+        return usage.remaining_share
+    return min(usage.remaining_share, max(0.0, (usage.estimate - limit) / usage.previous))
+
 
 class Tenancy:
     """One tenant's limit, in windows (times in seconds).
 
-    `window_slots`: the length of the window; `limit`: of units in one window; `quota_limit`: of those in any time as
-    long as the quota's own window.
+    Attributes:
+        name: Of the tenant.
+        limits: Its rate a second and burst, in requests.
+        quota_limit: Units in any time as long as the quota's own window.
+        window_slots: The length of the estimate's window.
+        window_s: The same in seconds.
+        limit: Units in one window.
+        admitted: Requests that were admitted here, each window worth half of the one after it.
+        rejected: The same of those that were rejected.
     """
 
     def __init__(
-        self, name: str, rate: float, burst: float, quota_window: float, overshoot: float, slack: float
+        self, name: str, rate: float, burst: float, quota_window_s: float, overshoot: float, slack: float
     ) -> None:
-        self.name, self.limits = name, (rate, burst)
-        self.quota_limit = (rate * quota_window + burst) * (1 + SPARE * overshoot) + SPARE * slack
+        """Derive the windows from a rate above 0 and a burst, and the rule's window, overshoot and slack."""
+        self.name = name
+        self.limits = (rate, burst)
+        used_overshoot = 1 + USED_SPARE_SHARE * overshoot
+        self.quota_limit = (rate * quota_window_s + burst) * used_overshoot + USED_SPARE_SHARE * slack
         # a longer window bears more chance, and less of the rate
-        longest = self.quota_limit / (EVEN * rate) - quota_window
-        slot = quota_window / SLOTS
-        self.window_slots = min(max(int(longest / slot), 1), SLOTS // 2)
-        self.window = self.window_slots * slot
+        longest_s = self.quota_limit / (MIN_RATE_FACTOR * rate) - quota_window_s
+        slot_s = quota_window_s / SLOTS
+        self.window_slots = min(max(int(longest_s / slot_s), 1), SLOTS // 2)
+        self.window_s = self.window_slots * slot_s
         self.limit = self.limit_of(self.window_slots)
-        self.let_in = self.turned_away = 0.0  #: tries here, each window worth half of the one after it
-        self._at = 0.0
+        self.admitted = 0.0
+        self.rejected = 0.0
+        self._judged_at = 0.0
 
     def limit_of(self, slots: int) -> float:
-        """Units in one window of so many slots."""
+        """Return the units in one window of so many slots."""
         return self.quota_limit / (SLOTS / slots + 1)
 
     def judge(self, usage: WindowUsage, now: float) -> float | None:
-        """As `over`, and remembers.  The wait counts those turned away before, who will come back as well: each
-        window has room for so many of them.
+        """Return as `excess_wait_s`, and remember the decision.
+
+        The wait counts those rejected before, who will come back as well: each window has room for so many of them.
         """
-        fade = 0.5 ** ((now - self._at) / self.window)
-        self.let_in, self.turned_away, self._at = self.let_in * fade, self.turned_away * fade, now
-        wait = self.over(usage)
-        if wait is None:
-            self.let_in += 1
+        fade = 0.5 ** ((now - self._judged_at) / self.window_s)
+        self.admitted *= fade
+        self.rejected *= fade
+        self._judged_at = now
+        wait_s = self.excess_wait_s(usage)
+        if wait_s is None:
+            self.admitted += 1
             return None
-        wait += self.window * self.turned_away / max(1.0, self.let_in)
-        self.turned_away += 1
-        return wait
-
-    def over(self, usage: WindowUsage) -> float | None:
-        """None inside the limit; else seconds until there may be room."""
-        before, previous, left, in_quota_window = usage
-        previous = min(previous, self.limit)  # what lies beyond was refused, and not taken off yet
-        if in_quota_window > self.quota_limit:
-            return self.window * left
-        if weighted(previous, left, before) <= self.limit:
+        wait_s += self.window_s * self.rejected / max(1.0, self.admitted)
+        self.rejected += 1
+        return wait_s
+
+    def excess_wait_s(self, usage: WindowUsage) -> float | None:
+        """Return None inside the limit; else in how many seconds there may be room."""
+        if usage.in_quota_window > self.quota_limit:
+            return self.window_s * usage.remaining_share
+        # what lies beyond was rejected, and not taken off yet
+        counted = usage._replace(previous=min(usage.previous, self.limit))
+        if counted.estimate <= self.limit:
             return None
-        return self.window * room_after(previous, left, before, self.limit)
+        return self.window_s * room_after(counted, self.limit)
 
 
 @dataclass(slots=True)
--- a/tests/simulation/test_scenario.py
+++ b/tests/simulation/test_scenario.py
@@ -260,6 +260,6 @@
         )
 
     def test_quotas_and_requests_that_may_have_run(self):
-        self.breaks(Rule.QUOTA, overloading_tenant, mock.patch.object(Tenancy, "over", lambda *_: None))
+        self.breaks(Rule.QUOTA, overloading_tenant, mock.patch.object(Tenancy, "excess_wait_s", lambda *_: None))
         self.breaks(Rule.TWICE, lost_server_responses, mock.patch.object(outcome, "may_retry", lambda *_: True), 10.0)
         self.breaks(Rule.REFUSED, lost_server_responses, mock.patch.object(outcome, "final_status", lambda *_: 503))
--- a/tests/soak/faulty_node.py
+++ b/tests/soak/faulty_node.py
@@ -11,5 +11,5 @@
 
 
 if __name__ == "__main__":
-    Tenancy.over = admit_everything
+    Tenancy.excess_wait_s = admit_everything
     sys.exit(process.main())
