Spend fewer bytes on counters: shards by zones, short values, answers of what has changed

Change: four shards for each zone of the deployment; a share in thousandths and whole units; the time of day is told four times to an incarnation; changes of other tenants go along with those that are due; an answer has all rows once and then what has changed.

--- a/mapleline/balancer/quota/client.py
+++ b/mapleline/balancer/quota/client.py
@@ -15,7 +15,7 @@
 from ..transport.messages import CounterIncrement, CounterSync, CounterValue
 from .consultation_log import ConsultationLog, ConsultationOutcome
 from .placement import Distance, ReplicaPlacement
-from .replica import CounterReplica
+from .replica import PERMILLE, CounterReplica
 from .slots import KEPT_SLOTS, SlotClock
 
 if TYPE_CHECKING:
@@ -177,10 +177,9 @@
 
     def _usage(self, tenancy: Tenancy, value: CounterValue) -> WindowUsage:
         """Return a tenant's usage by a replica's answer."""
-        if value.remaining_share >= 0:
-            return WindowUsage(
-                value.units_before, value.previous_window_units, value.remaining_share, value.quota_window_units
-            )
+        if value.remaining_permille >= 0:
+            share = value.remaining_permille / PERMILLE
+            return WindowUsage(value.units_before, value.previous_window_units, share, value.quota_window_units)
         # a replica of an earlier version: its counts are those of single slots, so that these are limited
         scale = tenancy.limit / tenancy.limit_of(1)
         remaining_share = self.slots.remaining_share(1)
--- a/mapleline/balancer/quota/counters.py
+++ b/mapleline/balancer/quota/counters.py
@@ -155,6 +155,10 @@
                 previous += units
         return CounterReading(current, previous, in_quota_window)
 
+    def has_changes_for(self, peer: int) -> bool:
+        """Return whether the peer was not sent the own rows as they are."""
+        return self.changes > self.sent.get(peer, NEVER_SENT).changes
+
     def is_sync_due(self, now: float, peer: int) -> bool:
         """Return whether the peer is to be sent the own rows: many changes at once, few after a while."""
         sent = self.sent.get(peer, NEVER_SENT)
@@ -258,15 +262,25 @@
                 elif not offset:
                     counter.rows[replica] = CounterRow(version + 1, units + known.units)
 
-    def updates_for(self, now: float, peer: int, tenants: set[str], *, complete: bool = False) -> list[CounterRows]:
-        """Return the rows of the tenants' counters that are due to be sent to a peer, and take them for sent.
+    def updates_for(
+        self, now: float, peer: int, tenants: set[str], *, complete: bool = False, is_due: bool = False
+    ) -> list[CounterRows]:
+        """Return the rows of the tenants' counters that have changed, once any is due, and take them for sent.
 
-        With `complete`, all rows, also of counters that are not due.
+        Args:
+            now: The time on the steady clock, in seconds.
+            peer: The incarnation that gets them.
+            tenants: Whose counters.
+            complete: Return all rows.
+            is_due: Return what has changed though none may be due yet.
         """
+        counters = [(tenant, counter) for tenant, counter in self.counters.items() if tenant in tenants]
+        if not complete:
+            if not is_due and not any(counter.is_sync_due(now, peer) for _, counter in counters):
+                return []
+            counters = [(tenant, counter) for tenant, counter in counters if counter.has_changes_for(peer)]
         updates = []
-        for tenant, counter in self.counters.items():
-            if tenant not in tenants or not (complete or counter.is_sync_due(now, peer)):
-                continue
+        for tenant, counter in counters:
             for number, rows in counter.rows_for(peer, self.own, complete=complete):
                 updates.append(CounterRows(tenant, number, rows))
             counter.sent[peer] = SentChanges(counter.changes, now)
--- a/mapleline/balancer/quota/placement.py
+++ b/mapleline/balancer/quota/placement.py
@@ -22,9 +22,10 @@
 
 logger = logging.getLogger(__name__)
 
-#: Shards are as many whatever the configuration: tenants that come or go move no other tenant's counters.  Large
-#: deployments need many, so that no replica is asked for more than it bears.
-SHARD_COUNT = 1024
+#: Shards are as many whatever the configuration: tenants that come or go move no other tenant's counters.  A large
+#: deployment has more zones, and needs more shards, so that no replica is asked for more than it bears; fewer shards
+#: mean fewer messages between replicas.
+SHARDS_PER_ZONE = 4
 
 #: The members are looked at again after that time, and at once when a suspicion begins or ends.
 VIEW_MAX_AGE_S = 0.05
@@ -57,9 +58,9 @@
     OTHER_REGION = 3
 
 
-def shard_of(tenant: str) -> int:
-    """Return the shard of a tenant; nothing but its name has a part in it."""
-    return crc32(tenant.encode()) % SHARD_COUNT
+def shard_of(tenant: str, shard_count: int) -> int:
+    """Return the shard of a tenant."""
+    return crc32(tenant.encode()) % shard_count
 
 
 def rank_candidates(shard: int, homes: str, candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -133,14 +134,15 @@
 class ReplicaView:
     """The nodes that may be replicas, as this node knows them at some time, and where they put each shard."""
 
-    def __init__(self, candidates: tuple[Candidate, ...]) -> None:
+    def __init__(self, candidates: tuple[Candidate, ...], shard_count: int) -> None:
         """`candidates`: alive and not leaving; not suspected either, where suspicions count."""
         self.candidates = candidates
+        self._shard_count = shard_count
         self._placements: dict[tuple[int, tuple[str, ...]], ShardPlacement] = {}
 
     def placement_of(self, tenant: str, homes: tuple[str, ...]) -> ShardPlacement:
         """Return where a tenant's counters are, in its home regions only if it has any."""
-        key = shard_of(tenant), homes
+        key = shard_of(tenant, self._shard_count), homes
         placement = self._placements.get(key)
         if placement is None:
             allowed = [candidate for candidate in self.candidates if not homes or candidate.region in homes]
@@ -169,7 +171,8 @@
         self._history_s = history_s
         self._zone_names = sorted(settings.zones)
         self._trusting_views: deque[DatedView] = deque()
-        self._view = ReplicaView(())
+        self._shard_count = SHARDS_PER_ZONE * len(self._zone_names)
+        self._view = ReplicaView((), self._shard_count)
         self._looked_at = NEVER
         self._suspicions_seen = -1
 
@@ -225,14 +228,14 @@
         )
         views = self._trusting_views
         if not views or views[-1].view.candidates != alive:
-            views.append(DatedView(now, ReplicaView(alive)))
+            views.append(DatedView(now, ReplicaView(alive, self._shard_count)))
         while len(views) > 1 and views[1].since <= now - self._history_s:
             views.popleft()
         trusted = tuple(candidate for candidate in alive if not self.suspects.is_suspect(candidate.ip, now))
         if trusted == alive:
             self._view = views[-1].view
         elif trusted != self._view.candidates:
-            self._view = ReplicaView(trusted)
+            self._view = ReplicaView(trusted, self._shard_count)
 
     def _region(self, zone: int) -> str:
         return self.settings.zones[self._zone_names[zone]]
--- a/mapleline/balancer/quota/replica.py
+++ b/mapleline/balancer/quota/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import ceil
 from typing import TYPE_CHECKING, NamedTuple
 
 from ...policy.window import SLOTS
@@ -27,6 +28,8 @@
 #: The window that an ingress of an earlier version gets the units of: no window of its estimates is longer.
 LONGEST_WINDOW_SLOTS = SLOTS // 2
 
+PERMILLE = 1000
+
 #: Home regions of a tenant by the configuration in force; None if it has no such tenant.
 HomeRegions = Callable[[str], list[str] | None]
 
@@ -114,8 +117,9 @@
         window_slots = message.window_slots or LONGEST_WINDOW_SLOTS
         reading = self._read(message, window_slots, operation)
         if message.window_slots:
-            share = self.slots.remaining_share(window_slots)
-            value = CounterValue(message.nonce, reading.current, reading.previous, share, reading.in_quota_window)
+            permille = int(PERMILLE * self.slots.remaining_share(window_slots))
+            in_quota_window = ceil(reading.in_quota_window)
+            value = CounterValue(message.nonce, reading.current, reading.previous, permille, in_quota_window)
         else:  # an earlier version names windows in its own way, and is told at least what is in its current one
             value = CounterValue(message.nonce, reading.current + reading.previous, 0.0)
         self.send(ip, value)
@@ -197,19 +201,20 @@
         wants_past: bool = False,
         known_tenants: list[str] | None = None,
     ) -> None:
-        unix_ms = self._clock_offsets.own_unix_ms()
+        unix_ms = self._clock_offsets.unix_ms_for(ip)
         self.send(ip, CounterSync(updates, is_answer, unix_ms, wants_past, known_tenants or []))
 
     def _rows_for_answer(self, ip: int, received: list[CounterRows]) -> list[CounterRows]:
         """Nothing for a peer of ours.
 
-        One that is no replica by our membership table counts for those who cannot reach a replica: it gets all rows.
+        One that is no replica by our membership table counts for those who cannot reach a replica: it gets all rows,
+        and then what has changed.
         """
         tenants = {update.tenant for update in received}
         peers = {peer for tenant in tenants for peer in self._replicas_of(tenant)}
         if ip in peers:
             return []
-        return self.table.updates_for(0.0, self.membership.session_key(ip), tenants, complete=True)
+        return self.table.updates_for(self.clock.seconds(), self.membership.session_key(ip), tenants, is_due=True)
 
     def _homes_of(self, tenant: str) -> tuple[str, ...]:
         homes = self._home_regions(tenant)
--- a/mapleline/balancer/transport/messages/quota.py
+++ b/mapleline/balancer/transport/messages/quota.py
@@ -29,8 +29,8 @@
     nonce: int  #: of the increment
     units_before: float  #: in the window, without the increment
     previous_window_units: float
-    remaining_share: float = -1.0  #: of the window, by the replica's clock; -1: from an earlier version
-    quota_window_units: float = 0.0  #: in the quota's own window, without the increment
+    remaining_permille: int = -1  #: of the window, by the replica's clock; -1: from an earlier version
+    quota_window_units: int = 0  #: in the quota's own window, without the increment, rounded up
 
 
 class ReplicaCount(NamedTuple):
@@ -54,6 +54,6 @@
 
     counters: list[CounterRows]
     is_answer: bool = False
-    sender_unix_ms: int = 0  #: the time of day by the sender's clock, by which it numbers slots; 0: not known
+    sender_unix_ms: int = 0  #: the time of day by the sender's clock, by which it numbers slots; 0: not told again
     wants_past: bool = False  #: the answer is to have all rows of these tenants
     known_tenants: list[str] = []  #: the sender knows all that was counted of these, and sends it herewith
--- /dev/null
+++ b/tests/balancer/quota/test_clock_offsets.py
@@ -0,0 +1,32 @@
+"""The time of day that replicas tell each other."""
+
+import unittest
+from unittest import mock
+
+from mapleline.balancer.quota.clock_offsets import MAX_TIMES_TOLD, ClockOffsets
+from mapleline.balancer.quota.slots import SlotClock
+
+PEER = 7
+
+
+class TestClockOffsets(unittest.TestCase):
+    def setUp(self):
+        self.incarnation = 1
+        membership = mock.Mock(incarnation=lambda ip: self.incarnation)
+        slots = SlotClock(mock.Mock(seconds=lambda: 50.0), lambda: 1000.0, 5.0)
+        self.offsets = ClockOffsets(membership, slots)
+
+    def test_each_incarnation_is_told_the_time_a_few_times(self):
+        for _ in range(2):
+            told = [self.offsets.unix_ms_for(PEER) for _ in range(MAX_TIMES_TOLD + 2)]
+            self.assertEqual(told, [1_000_000] * MAX_TIMES_TOLD + [0, 0])
+            self.incarnation += 1
+
+    def test_an_offset_is_measured_once_an_incarnation_and_kept(self):
+        self.assertEqual(self.offsets.offset_of(PEER, 0), 0)
+        self.assertEqual(self.offsets.offset_of(PEER, 970_000), 60)
+        self.assertEqual(self.offsets.offset_of(PEER, 960_000), 60)
+        self.assertEqual(self.offsets.offset_of(PEER, 0), 60)
+        self.incarnation += 1
+        self.assertEqual(self.offsets.offset_of(PEER, 0), 0)
+        self.assertEqual(self.offsets.offset_of(PEER, 1_000_200), 0)  # less than half a slot
