--- a/review/rig2.py
+++ b/review/rig2.py
@@ -127,8 +127,8 @@
         record.add(f"{self.id} runs {request_id} {first.split(' ')[0]} {path}, body of {size} bytes")
         body = b"x" * int(path.rsplit("/", 1)[1]) if path.startswith("/archivo/") else b"done\n"
         head = (
-            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: st-{request_id}\r\nKeep-Alive: timeout=10\r\n"
-            f"Server-Load: 1,0,16\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: st-{request_id}\r\n"
+            f"Keep-Alive: timeout=10\r\nServer-Load: 1,0,16\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         writer.write(head.encode() + body)
         await writer.drain()
@@ -298,7 +298,8 @@
                 try:
                     writer.write(
                         f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n"
-                        f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+                        f"Content-Length: {len(body)}\r\n\r\n".encode()
+                        + body
                     )
                     first, headers = await read_head(reader)
                     answer = await reader.readexactly(int(headers.get("content-length", "0")))
@@ -381,7 +382,9 @@
             "idle_timeout": "15000ms",
             **(limits or {}),
         },
-        "tenant_table": {TENANT: {"api_keys": [KEY], "priority": 1, "rate_per_s": 0, "burst_size": 0, "home_regions": []}},
+        "tenant_table": {
+            TENANT: {"api_keys": [KEY], "priority": 1, "rate_per_s": 0, "burst_size": 0, "home_regions": []}
+        },
     }
 
 
